Serve requests end to end through separate processes

Cause: the repository was empty. This is the first whole path: a caller's request enters any spard, goes to the owner of its key and runs on the backend server beside it. The assignment is read from the platform stand-in's table.

Ownership uses the baseline from the start: a lease kept by rewriting the node's row every 500 ms, conditional on the row's revision.

The table saw 859 writes in the first 4 s, mostly rejected assignments that raced with the renewals, so this baseline does not scale.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,29 @@
+GOBIN := $(shell go env GOPATH)/bin
+LINT_VERSION := v2.15.0
+FUMPT_VERSION := v0.12.0
+MODULES := . $(wildcard cmd/*) $(wildcard system)
+PROGRAMS := $(notdir $(wildcard cmd/*))
+
+.PHONY: build test lint fmt tools demo measure clean
+
+build:
+	@mkdir -p bin
+	@for p in $(PROGRAMS); do go build -o bin/$$p ./cmd/$$p || exit 1; done
+
+test:
+	@for m in $(MODULES); do (cd $$m && go test -race -timeout 8m ./...) || exit 1; done
+
+tools:
+	@test -x $(GOBIN)/golangci-lint && $(GOBIN)/golangci-lint version 2>/dev/null | grep -q $(LINT_VERSION:v%=%) || \
+		go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION)
+	@test -x $(GOBIN)/gofumpt && $(GOBIN)/gofumpt --version 2>/dev/null | grep -q $(FUMPT_VERSION) || \
+		go install mvdan.cc/gofumpt@$(FUMPT_VERSION)
+
+lint: tools
+	@for m in $(MODULES); do (cd $$m && $(GOBIN)/golangci-lint run --config $(CURDIR)/.golangci.yml ./...) || exit 1; done
+
+fmt: tools
+	@for m in $(MODULES); do (cd $$m && $(GOBIN)/golangci-lint fmt --config $(CURDIR)/.golangci.yml ./...) || exit 1; done
+
+clean:
+	rm -rf bin
--- /dev/null
+++ b/config/keys.go
@@ -0,0 +1,162 @@
+package config
+
+import (
+	"fmt"
+	"net"
+	"net/url"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+
+	spar "sardinespar.example/spar"
+)
+
+// Key describes one setting.
+type Key struct {
+	Section  string
+	Name     string
+	Default  string
+	Accepted string
+	Help     string
+
+	set func(*Settings, string) bool
+}
+
+// required marks a key without a default.
+const required = "\x00"
+
+// Required reports whether the key has no default.
+func (k Key) Required() bool {
+	return k.Default == required
+}
+
+var namePattern = regexp.MustCompile(`^[A-Za-z0-9_-]{1,64}$`)
+
+const acceptedName = "1 to 64 letters, digits, - or _"
+
+// Keys returns all settings in the order of the reference.
+func Keys() []Key {
+	return slices.Concat(nodeKeys(), storeKeys(), policyKeys(), logKeys())
+}
+
+func nodeKeys() []Key {
+	return []Key{
+		name("node", "vm", "name of the VM, part of the node id", func(s *Settings, v string) { s.VM = v }),
+		name("node", "zone", "availability zone", func(s *Settings, v string) { s.Zone = spar.Zone(v) }),
+		name("node", "region", "region of the zone", func(s *Settings, v string) { s.Region = spar.Region(v) }),
+		address("http", "address for callers and other nodes' requests", func(s *Settings, v string) { s.HTTPAddr = v }),
+		address("peer", "address for control messages", func(s *Settings, v string) { s.PeerAddr = v }),
+		address("local", "address for announcements and metrics", func(s *Settings, v string) { s.LocalAddr = v }),
+	}
+}
+
+func storeKeys() []Key {
+	return []Key{
+		{
+			Section: "store", Name: "url", Default: required, Accepted: "http://IP:PORT",
+			Help: "base URL of the platform's table service",
+			set: func(s *Settings, v string) bool {
+				u, err := url.Parse(v)
+				s.StoreURL = strings.TrimSuffix(v, "/")
+
+				return err == nil && (u.Scheme == "http" || u.Scheme == "https") && u.Host != ""
+			},
+		},
+		millis("store", "timeout_ms", 1000, 10, 60_000, "time limit of one call of the table service",
+			func(s *Settings, v spar.Millis) { s.StoreTimeout = v }),
+	}
+}
+
+func policyKeys() []Key {
+	return []Key{
+		choice("policy", "lease", []string{LeaseWitness, LeaseTable}, "how nodes hold their lease",
+			func(s *Settings, v string) { s.Lease = v }),
+		choice("policy", "admission", []string{AdmissionAdaptive, AdmissionFixed}, "how calls are admitted",
+			func(s *Settings, v string) { s.Admission = v }),
+		choice("policy", "picker", []string{PickerTwoChoices, PickerRoundRobin}, "how upstreams are chosen",
+			func(s *Settings, v string) { s.Picker = v }),
+		flag("policy", "hedging", true, "send slow idempotent calls to a second upstream",
+			func(s *Settings, v bool) { s.Hedging = v }),
+		flag("policy", "resume", true, "resume cut downloads on another upstream",
+			func(s *Settings, v bool) { s.Resume = v }),
+		integer("policy", "max_queue", 200, 0, 100_000, "calls that may wait for a slot of the backend server",
+			func(s *Settings, v int) { s.MaxQueue = v }),
+	}
+}
+
+func logKeys() []Key {
+	return []Key{
+		integer("log", "events", 4096, 16, 1_000_000, "events kept for the time line",
+			func(s *Settings, v int) { s.EventCount = v }),
+		choice("log", "level", []string{"info", "debug", "warn", "error"}, "least level of log lines",
+			func(s *Settings, v string) { s.LogLevel = v }),
+		choice("log", "format", []string{"text", "json"}, "form of log lines",
+			func(s *Settings, v string) { s.LogFormat = v }),
+	}
+}
+
+func name(section, key, help string, set func(*Settings, string)) Key {
+	return Key{
+		Section: section, Name: key, Default: required, Accepted: acceptedName, Help: help,
+		set: func(s *Settings, v string) bool {
+			set(s, v)
+
+			return namePattern.MatchString(v)
+		},
+	}
+}
+
+func address(key, help string, set func(*Settings, string)) Key {
+	return Key{
+		Section: "listen", Name: key, Default: required, Accepted: "IP:PORT", Help: help,
+		set: func(s *Settings, v string) bool {
+			set(s, v)
+
+			host, port, err := net.SplitHostPort(v)
+			n, portErr := strconv.Atoi(port)
+
+			return err == nil && net.ParseIP(host) != nil && portErr == nil && n > 0 && n < 1<<16
+		},
+	}
+}
+
+func choice(section, key string, values []string, help string, set func(*Settings, string)) Key {
+	return Key{
+		Section: section, Name: key, Default: values[0], Accepted: strings.Join(values, ", "), Help: help,
+		set: func(s *Settings, v string) bool {
+			set(s, v)
+
+			return slices.Contains(values, v)
+		},
+	}
+}
+
+func flag(section, key string, def bool, help string, set func(*Settings, bool)) Key {
+	return Key{
+		Section: section, Name: key, Default: strconv.FormatBool(def), Accepted: "true, false", Help: help,
+		set: func(s *Settings, v string) bool {
+			b, err := strconv.ParseBool(v)
+			set(s, b)
+
+			return err == nil
+		},
+	}
+}
+
+func integer(section, key string, def, least, most int, help string, set func(*Settings, int)) Key {
+	return Key{
+		Section: section, Name: key, Default: strconv.Itoa(def), Help: help,
+		Accepted: fmt.Sprintf("a whole number from %d to %d", least, most),
+		set: func(s *Settings, v string) bool {
+			n, err := strconv.Atoi(v)
+			set(s, n)
+
+			return err == nil && n >= least && n <= most
+		},
+	}
+}
+
+func millis(section, key string, def, least, most int, help string, set func(*Settings, spar.Millis)) Key {
+	return integer(section, key, def, least, most, help, func(s *Settings, n int) { set(s, spar.Millis(n)) })
+}
--- /dev/null
+++ b/event.go
@@ -0,0 +1,75 @@
+package spar
+
+// Stamp is a hybrid logical clock's time: wall milliseconds and a counter for events within one.
+type Stamp struct {
+	Wall    int64  `json:"wall_ms"`
+	Counter uint32 `json:"counter"`
+}
+
+// Less reports whether s is before o.
+func (s Stamp) Less(o Stamp) bool {
+	if s.Wall != o.Wall {
+		return s.Wall < o.Wall
+	}
+
+	return s.Counter < o.Counter
+}
+
+// EventKind names a type of event.
+type EventKind string
+
+// The kinds of events.
+const (
+	EventStarted     EventKind = "started"
+	EventRegistered  EventKind = "registered"
+	EventAnnounced   EventKind = "announced"
+	EventLeaseHeld   EventKind = "lease_held"
+	EventLeaseLost   EventKind = "lease_lost"
+	EventSuspected   EventKind = "suspected"
+	EventFenced      EventKind = "fenced"
+	EventTakeover    EventKind = "takeover"
+	EventAssigned    EventKind = "assigned"
+	EventMoveBegun   EventKind = "move_begun"
+	EventMoved       EventKind = "moved"
+	EventMoveFailed  EventKind = "move_failed"
+	EventWitnesses   EventKind = "witnesses"
+	EventLeaving     EventKind = "leaving"
+	EventStopped     EventKind = "stopped"
+	EventPreset      EventKind = "preset"
+	EventZone        EventKind = "zone"
+	EventServer      EventKind = "server"
+	EventEjected     EventKind = "ejected"
+	EventReturned    EventKind = "returned"
+	EventLimit       EventKind = "limit"
+	EventShed        EventKind = "shed"
+	EventQuarantined EventKind = "quarantined"
+	EventStoreDown   EventKind = "store_down"
+	EventStoreUp     EventKind = "store_up"
+	EventResumed     EventKind = "resumed"
+)
+
+// Event is one entry of the time line.
+type Event struct {
+	Stamp    Stamp     `json:"stamp"`
+	Node     NodeID    `json:"node"`
+	Kind     EventKind `json:"kind"`
+	Service  string    `json:"service,omitempty"`
+	Slot     *Slot     `json:"slot,omitempty"`
+	Epoch    Epoch     `json:"epoch,omitempty"`
+	Revision Revision  `json:"revision,omitempty"`
+	Peer     NodeID    `json:"peer,omitempty"`
+	Request  string    `json:"request,omitempty"`
+	Detail   string    `json:"detail,omitempty"`
+}
+
+// WithSlot returns e for a slot of a service at an epoch.
+func (e Event) WithSlot(service string, s Slot, epoch Epoch) Event {
+	e.Service, e.Slot, e.Epoch = service, &s, epoch
+
+	return e
+}
+
+// Recorder takes events into the time line. It fills in stamp and node.
+type Recorder interface {
+	Record(e Event)
+}
--- /dev/null
+++ b/event/ring.go
@@ -0,0 +1,92 @@
+// Package event keeps the time line of one node and merges those of several.
+package event
+
+import (
+	"sync"
+
+	spar "sardinespar.example/spar"
+)
+
+// Ring keeps the newest events of one node, stamped by a hybrid logical clock.
+type Ring struct {
+	wall func() int64
+
+	mu     sync.Mutex
+	node   spar.NodeID
+	last   spar.Stamp
+	events []spar.Event
+	next   int
+	full   bool
+}
+
+// NewRing returns a ring of size events; wall returns the wall clock's milliseconds.
+func NewRing(size int, wall func() int64) *Ring {
+	return &Ring{wall: wall, events: make([]spar.Event, size)}
+}
+
+// Named sets the node id that later events carry.
+func (r *Ring) Named(id spar.NodeID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	r.node = id
+}
+
+// Record stamps e and keeps it.
+func (r *Ring) Record(e spar.Event) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	r.last = r.tick(r.last)
+	e.Stamp = r.last
+
+	if e.Node == "" {
+		e.Node = r.node
+	}
+
+	r.events[r.next] = e
+	r.next = (r.next + 1) % len(r.events)
+	r.full = r.full || r.next == 0
+}
+
+// Observe moves the clock past a stamp received from another process.
+func (r *Ring) Observe(s spar.Stamp) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	if r.last.Less(s) {
+		r.last = s
+	}
+
+	r.last = r.tick(r.last)
+}
+
+// Now returns a stamp to send with a message.
+func (r *Ring) Now() spar.Stamp {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	r.last = r.tick(r.last)
+
+	return r.last
+}
+
+// Events returns the kept events, oldest first.
+func (r *Ring) Events() []spar.Event {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	if !r.full {
+		return append([]spar.Event(nil), r.events[:r.next]...)
+	}
+
+	return append(append([]spar.Event(nil), r.events[r.next:]...), r.events[:r.next]...)
+}
+
+func (r *Ring) tick(last spar.Stamp) spar.Stamp {
+	if wall := r.wall(); wall > last.Wall {
+		return spar.Stamp{Wall: wall}
+	}
+
+	return spar.Stamp{Wall: last.Wall, Counter: last.Counter + 1}
+}
--- /dev/null
+++ b/fleet/sync.go
@@ -0,0 +1,213 @@
+package fleet
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+
+	spar "sardinespar.example/spar"
+	"sardinespar.example/spar/peers"
+)
+
+// The methods of dissemination.
+const (
+	MethodPull = "fleet.pull"
+	MethodPush = "fleet.push"
+)
+
+const (
+	// scanPerNode sets the fleet's rate of scans to five a second at any size.
+	scanPerNode spar.Millis = 200
+	// scanLeast keeps small fleets from scanning more often than once a second per node.
+	scanLeast spar.Millis = 1000
+	// scanFirst is the pause between scans until the first one has succeeded.
+	scanFirst   spar.Millis = 200
+	pushTimeout spar.Millis = 500
+	pullTimeout spar.Millis = 1000
+	// pushParallel bounds the pushes under way at once from one node.
+	pushParallel = 32
+)
+
+// PullParams asks for the rows written after a revision.
+type PullParams struct {
+	Since spar.Revision `json:"since"`
+}
+
+// PullResult holds rows and the revision up to which their sender has all rows.
+type PullResult struct {
+	Rows     []spar.Row    `json:"rows"`
+	Complete spar.Revision `json:"complete"`
+}
+
+// PushParams holds rows that the sender committed or learned.
+type PushParams struct {
+	From spar.NodeID `json:"from"`
+	Rows []spar.Row  `json:"rows"`
+}
+
+// Empty is the result of a call that returns nothing.
+type Empty struct{}
+
+// Sync spreads rows between the table, the replica and the peers.
+type Sync struct {
+	replica *Replica
+	table   spar.Table
+	calls   peers.Caller
+	clock   spar.Clock
+	record  spar.Recorder
+
+	mu      sync.Mutex
+	pulling map[string]bool
+	down    bool
+}
+
+// NewSync returns the dissemination of one node.
+func NewSync(r *Replica, t spar.Table, calls peers.Caller, clock spar.Clock, record spar.Recorder) *Sync {
+	return &Sync{replica: r, table: t, calls: calls, clock: clock, record: record, pulling: map[string]bool{}}
+}
+
+// Register adds the methods that peers call.
+func (s *Sync) Register(m *peers.Mux) {
+	peers.Handle(m, MethodPull, s.servePull)
+	peers.Handle(m, MethodPush, s.servePush)
+}
+
+func (s *Sync) servePull(_ context.Context, p PullParams) (PullResult, error) {
+	v := s.replica.View()
+
+	return PullResult{Rows: v.Since(p.Since), Complete: v.Complete()}, nil
+}
+
+func (s *Sync) servePush(_ context.Context, p PushParams) (Empty, error) {
+	s.replica.Merge(p.Rows, 0)
+
+	return Empty{}, nil
+}
+
+// Run scans the table for changes until ctx ends.
+func (s *Sync) Run(ctx context.Context) {
+	s.loop(ctx)
+}
+
+func (s *Sync) loop(ctx context.Context) {
+	for {
+		wait := scanFirst
+		if s.Scan(ctx) {
+			wait = max(scanLeast, scanPerNode*spar.Millis(len(s.replica.View().Nodes())))
+		}
+
+		if !s.clock.Sleep(ctx, wait/2+spar.Millis(rand.Float64())*wait) {
+			return
+		}
+	}
+}
+
+// Scan reads the rows changed since the last scan from the table and reports success.
+func (s *Sync) Scan(ctx context.Context) bool {
+	rows, revision, err := s.table.Scan(ctx, "", s.replica.View().Complete())
+
+	s.note(err)
+
+	if err != nil {
+		return false
+	}
+
+	s.replica.Merge(rows, revision)
+
+	return true
+}
+
+func (s *Sync) note(err error) {
+	s.mu.Lock()
+	changed := s.down != (err != nil)
+	s.down = err != nil
+	s.mu.Unlock()
+
+	switch {
+	case changed && err != nil:
+		s.record.Record(spar.Event{Kind: spar.EventStoreDown, Detail: err.Error()})
+	case changed:
+		s.record.Record(spar.Event{Kind: spar.EventStoreUp})
+	}
+}
+
+// Behind pulls from a peer that has a higher complete revision. It returns at once if a pull
+// from that peer is under way.
+func (s *Sync) Behind(ctx context.Context, addr string, complete spar.Revision) {
+	if complete <= s.replica.View().Complete() || !s.begin(addr) {
+		return
+	}
+	defer s.end(addr)
+
+	ctx, cancel := context.WithTimeout(ctx, pullTimeout.Duration())
+	defer cancel()
+
+	var result PullResult
+
+	since := s.replica.View().Complete()
+	if err := s.calls.Call(ctx, addr, MethodPull, PullParams{Since: since}, &result); err != nil {
+		return
+	}
+
+	s.replica.Merge(result.Rows, result.Complete)
+}
+
+func (s *Sync) begin(addr string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	if s.pulling[addr] {
+		return false
+	}
+
+	s.pulling[addr] = true
+
+	return true
+}
+
+func (s *Sync) end(addr string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	delete(s.pulling, addr)
+}
+
+// Push merges rows into the replica and sends them to all peers. It waits for the peers' answers,
+// at most for the push timeout each.
+func (s *Sync) Push(ctx context.Context, self spar.NodeID, rows []spar.Row) {
+	s.replica.Merge(rows, 0)
+
+	nodes := slices.DeleteFunc(s.replica.View().Nodes(), func(n spar.Node) bool { return n.ID == self })
+	free := make(chan struct{}, pushParallel)
+
+	var wg sync.WaitGroup
+
+	for _, n := range nodes {
+		free <- struct{}{}
+
+		wg.Go(func() {
+			defer func() { <-free }()
+
+			ctx, cancel := context.WithTimeout(ctx, pushTimeout.Duration())
+			defer cancel()
+
+			var result Empty
+
+			_ = s.calls.Call(ctx, n.PeerAddr, MethodPush, PushParams{From: self, Rows: rows}, &result)
+		})
+	}
+
+	wg.Wait()
+}
+
+// RowsOf returns the rows that an applied transaction wrote.
+func RowsOf(txn spar.Txn, revision spar.Revision) []spar.Row {
+	rows := make([]spar.Row, 0, len(txn.Writes))
+
+	for _, w := range txn.Writes {
+		rows = append(rows, spar.Row{Key: w.Key, Value: w.Value, Revision: revision})
+	}
+
+	return rows
+}
--- /dev/null
+++ b/lease/table.go
@@ -0,0 +1,60 @@
+// Package lease holds and grants the right to act as an owner for a bounded time.
+package lease
+
+import (
+	"context"
+	"sync/atomic"
+
+	spar "sardinespar.example/spar"
+	"sardinespar.example/spar/fleet"
+)
+
+const (
+	// TableTTL is the lifetime of a table lease.
+	TableTTL spar.Millis = 1500
+	// TableRenewal is the pause between two writes of a table lease.
+	TableRenewal spar.Millis = 500
+)
+
+// TableHolder holds a lease by rewriting the node's row. It is the baseline for witness leases.
+type TableHolder struct {
+	member *fleet.Member
+	clock  spar.Clock
+	until  atomic.Int64
+}
+
+// NewTableHolder returns a holder that has no lease yet.
+func NewTableHolder(m *fleet.Member, clock spar.Clock) *TableHolder {
+	return &TableHolder{member: m, clock: clock}
+}
+
+// Until returns the time on the local clock at which the lease ends.
+func (h *TableHolder) Until() spar.Millis {
+	return spar.Millis(h.until.Load())
+}
+
+// Run renews the lease until ctx ends or the node's row is lost.
+func (h *TableHolder) Run(ctx context.Context) {
+	h.loop(ctx)
+}
+
+func (h *TableHolder) loop(ctx context.Context) {
+	for {
+		sent := h.clock.Now()
+
+		c := h.member.Update(ctx, func(n spar.Node) spar.Node { return n.WithBeat(n.Beat + 1) })
+		if c.Verdict == spar.Rejected {
+			h.until.Store(0)
+
+			return
+		}
+
+		if c.Verdict == spar.Applied {
+			h.until.Store(int64(sent + spar.HeldFor(TableTTL)))
+		}
+
+		if !h.clock.Sleep(ctx, max(0, TableRenewal-(h.clock.Now()-sent))) {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/node.go
@@ -0,0 +1,73 @@
+package spar
+
+import "slices"
+
+// NodeID names one run of a spard: the VM's name, a dot, and an incarnation new with each start.
+type NodeID string
+
+// NodeState is the state of a node's row in the table.
+type NodeState string
+
+// The states of a node. A lost node never returns under the same id.
+const (
+	NodeJoining NodeState = "joining"
+	NodeLive    NodeState = "live"
+	NodeLeaving NodeState = "leaving"
+	NodeLost    NodeState = "lost"
+)
+
+// Zone names an availability zone.
+type Zone string
+
+// Region names a region, which holds one or more availability zones.
+type Region string
+
+// Capacity is what a backend server bears at once.
+type Capacity struct {
+	Slots int `json:"slots"`
+	Conns int `json:"conns"`
+}
+
+// Node describes a spard and the backend server beside it.
+type Node struct {
+	ID           NodeID    `json:"id"`
+	VM           string    `json:"vm"`
+	Service      string    `json:"service"`
+	Zone         Zone      `json:"zone"`
+	Region       Region    `json:"region"`
+	HTTPAddr     string    `json:"http_addr"`
+	PeerAddr     string    `json:"peer_addr"`
+	Capacity     Capacity  `json:"capacity"`
+	ChecksGrants bool      `json:"checks_grants"`
+	Witnesses    []NodeID  `json:"witnesses"`
+	State        NodeState `json:"state"`
+	Beat         int64     `json:"beat,omitempty"`
+}
+
+// WithState returns n in the given state.
+func (n Node) WithState(s NodeState) Node {
+	n.State = s
+
+	return n
+}
+
+// WithWitnesses returns n with the given witnesses.
+func (n Node) WithWitnesses(ids []NodeID) Node {
+	n.Witnesses = slices.Clone(ids)
+
+	return n
+}
+
+// WithBeat returns n with the given heartbeat count, which only the table-lease baseline uses.
+func (n Node) WithBeat(beat int64) Node {
+	n.Beat = beat
+
+	return n
+}
+
+// WithCapacity returns n with the given capacity.
+func (n Node) WithCapacity(c Capacity) Node {
+	n.Capacity = c
+
+	return n
+}
--- /dev/null
+++ b/peers/traffic.go
@@ -0,0 +1,47 @@
+package peers
+
+import (
+	"net"
+	"sync/atomic"
+)
+
+// Traffic counts the bytes of control connections.
+type Traffic struct {
+	sent     atomic.Int64
+	received atomic.Int64
+}
+
+// Sent returns the bytes sent so far.
+func (t *Traffic) Sent() int64 {
+	return t.sent.Load()
+}
+
+// Received returns the bytes received so far.
+func (t *Traffic) Received() int64 {
+	return t.received.Load()
+}
+
+// Conn returns conn with its bytes counted.
+func (t *Traffic) Conn(conn net.Conn) net.Conn {
+	return countedConn{Conn: conn, traffic: t}
+}
+
+type countedConn struct {
+	net.Conn
+
+	traffic *Traffic
+}
+
+func (c countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.traffic.received.Add(int64(n))
+
+	return n, err
+}
+
+func (c countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.traffic.sent.Add(int64(n))
+
+	return n, err
+}
--- /dev/null
+++ b/route/forward.go
@@ -0,0 +1,106 @@
+package route
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync/atomic"
+
+	spar "sardinespar.example/spar"
+)
+
+const maxRefusalBytes = 4096
+
+// forward sends the call to the node that serves it.
+func (h *Handler) forward(ctx context.Context, n spar.Node, c spar.Call) spar.Answer {
+	now := h.clock.Now()
+	if now >= c.Deadline {
+		return spar.NotRun(http.StatusGatewayTimeout, spar.ReasonDeadline, "deadline passed before the run")
+	}
+
+	ctx, cancel := context.WithTimeout(ctx, (c.Deadline - now).Duration())
+
+	var sent atomic.Bool
+
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
+	})
+
+	req, err := http.NewRequestWithContext(ctx, c.Method, "http://"+n.HTTPAddr+c.URI, bytes.NewReader(c.Body))
+	if err != nil {
+		cancel()
+
+		return spar.NotRun(http.StatusBadRequest, spar.ReasonBadRequest, "request can't be sent on: %v", err)
+	}
+
+	req.Header = c.Header.Clone()
+	req.Header.Set(spar.HeaderHop, "1")
+	req.Header.Set(spar.HeaderRequest, c.ID)
+	req.Header.Set(spar.HeaderDeadline, strconv.FormatInt(max(1, int64(c.Deadline-now)), 10))
+
+	if c.Key != "" {
+		req.Header.Set(spar.HeaderKey, c.Key)
+	}
+
+	if c.Token != "" {
+		req.Header.Set(spar.HeaderToken, c.Token)
+	}
+
+	resp, err := h.client.RoundTrip(req)
+	if err != nil {
+		cancel()
+
+		return lost(sent.Load(), n, err)
+	}
+
+	resp.Body = cancelOnClose{ReadCloser: resp.Body, cancel: cancel}
+
+	return received(resp, n)
+}
+
+func lost(sent bool, n spar.Node, err error) spar.Answer {
+	if !sent {
+		return spar.NotRun(http.StatusServiceUnavailable, spar.ReasonUnreachable, "connect to node %s: %v", n.ID, err)
+	}
+
+	return spar.Uncertain(http.StatusBadGateway, spar.ReasonBroken, "node %s: %v", n.ID, err).WithOwner(n.ID)
+}
+
+// received reads another node's answer.
+func received(resp *http.Response, n spar.Node) spar.Answer {
+	outcome := spar.Outcome(resp.Header.Get(spar.HeaderOutcome))
+
+	switch outcome {
+	case spar.OutcomeCompleted:
+		return spar.Completed(resp, n.ID)
+	case spar.OutcomeNotRun, spar.OutcomeUnknown:
+		detail, _ := io.ReadAll(io.LimitReader(resp.Body, maxRefusalBytes))
+		_ = resp.Body.Close()
+
+		return spar.Answer{
+			Outcome: outcome, Status: resp.StatusCode, Owner: n.ID,
+			Reason: spar.Reason(resp.Header.Get(spar.HeaderReason)),
+			Detail: string(bytes.TrimSpace(detail)),
+		}
+	default:
+		_ = resp.Body.Close()
+
+		return spar.Uncertain(http.StatusBadGateway, spar.ReasonBroken, "node %s gave no outcome", n.ID)
+	}
+}
+
+type cancelOnClose struct {
+	io.ReadCloser
+
+	cancel context.CancelFunc
+}
+
+func (c cancelOnClose) Close() error {
+	err := c.ReadCloser.Close()
+	c.cancel()
+
+	return err
+}
--- /dev/null
+++ b/slot.go
@@ -0,0 +1,66 @@
+package spar
+
+import "slices"
+
+// SegmentSize is the number of slots in one row of the table.
+const SegmentSize = 256
+
+// Assignment names the owner of a slot.
+// Base is the epoch since which the ledger's records were handed over without a gap.
+type Assignment struct {
+	Owner NodeID `json:"owner,omitempty"`
+	Epoch Epoch  `json:"epoch"`
+	Base  Epoch  `json:"base"`
+}
+
+// Owned reports whether the slot has an owner.
+func (a Assignment) Owned() bool {
+	return a.Owner != ""
+}
+
+// Moved returns the assignment after a planned move to id: the records go along.
+func (a Assignment) Moved(id NodeID) Assignment {
+	return Assignment{Owner: id, Epoch: a.Epoch + 1, Base: a.Base}
+}
+
+// Taken returns the assignment after a takeover by id: the records are gone.
+func (a Assignment) Taken(id NodeID) Assignment {
+	return Assignment{Owner: id, Epoch: a.Epoch + 1, Base: a.Epoch + 1}
+}
+
+// Segment is the assignments of up to SegmentSize consecutive slots of a service.
+type Segment struct {
+	Service string       `json:"service"`
+	Index   int          `json:"index"`
+	Slots   []Assignment `json:"slots"`
+}
+
+// NewSegment returns the segment of a service with no owners yet.
+func NewSegment(s Service, index int) Segment {
+	n := min(SegmentSize, s.Slots-index*SegmentSize)
+
+	return Segment{Service: s.Name, Index: index, Slots: make([]Assignment, n)}
+}
+
+// SegmentCount returns the number of segments of s.
+func (s Service) SegmentCount() int {
+	return (s.Slots + SegmentSize - 1) / SegmentSize
+}
+
+// First returns the number of the first slot of g.
+func (g Segment) First() Slot {
+	return Slot(g.Index * SegmentSize)
+}
+
+// At returns the assignment of slot s, which must lie in g.
+func (g Segment) At(s Slot) Assignment {
+	return g.Slots[s-g.First()]
+}
+
+// With returns g with slot s assigned as given.
+func (g Segment) With(s Slot, a Assignment) Segment {
+	g.Slots = slices.Clone(g.Slots)
+	g.Slots[s-g.First()] = a
+
+	return g
+}
--- /dev/null
+++ b/table/memory.go
@@ -0,0 +1,77 @@
+// Package table reaches the platform's transactional table service.
+package table
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+
+	spar "sardinespar.example/spar"
+)
+
+// Memory is a table in memory. The platform's stand-in and tests use it.
+type Memory struct {
+	mu       sync.Mutex
+	rows     map[string]spar.Row
+	revision spar.Revision
+}
+
+// NewMemory returns an empty table.
+func NewMemory() *Memory {
+	return &Memory{rows: map[string]spar.Row{}}
+}
+
+// Get returns a row and whether it is there.
+func (m *Memory) Get(_ context.Context, key string) (spar.Row, bool, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+
+	row, ok := m.rows[key]
+
+	return row, ok, nil
+}
+
+// Scan returns the rows under prefix written after since, and the table's revision.
+func (m *Memory) Scan(_ context.Context, prefix string, since spar.Revision) ([]spar.Row, spar.Revision, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+
+	var rows []spar.Row
+
+	for key, row := range m.rows {
+		if strings.HasPrefix(key, prefix) && row.Revision > since {
+			rows = append(rows, row)
+		}
+	}
+
+	slices.SortFunc(rows, func(a, b spar.Row) int { return strings.Compare(a.Key, b.Key) })
+
+	return rows, m.revision, nil
+}
+
+// Commit applies the transaction if all its conditions hold.
+func (m *Memory) Commit(_ context.Context, txn spar.Txn) spar.Commit {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+
+	for _, c := range txn.Conditions {
+		if m.rows[c.Key].Revision != c.Revision {
+			return spar.Commit{Verdict: spar.Rejected, Conflict: c.Key}
+		}
+	}
+
+	m.revision++
+
+	for _, w := range txn.Writes {
+		if len(w.Value) == 0 || string(w.Value) == "null" {
+			delete(m.rows, w.Key)
+
+			continue
+		}
+
+		m.rows[w.Key] = spar.Row{Key: w.Key, Value: slices.Clone(w.Value), Revision: m.revision}
+	}
+
+	return spar.Commit{Verdict: spar.Applied, Revision: m.revision}
+}
