Add sparload, deployment files and the demo

Cause: nothing yet showed the whole path under load. Sparload starts a deployment as separate processes with a delay of 1 ms between them, sends open-loop traffic, takes a zone out and back, and compares what callers saw with what the backend servers recorded.

Seen: the demo fails at this commit. The baseline's lease renewals and rejected assignments use up the stand-in's 300 writes/s, so the zone's withdrawal gets no reply.

--- a/Makefile
+++ b/Makefile
@@ -27,3 +27,10 @@
 
 clean:
 	rm -rf bin
+
+demo: build
+	bin/sparload --deployment deploy/quilt.ini demo
+
+measure: build
+	bin/sparload --deployment deploy/quilt.ini --json measure-quilt.json measure
+	bin/sparload --deployment deploy/teranga.ini --json measure-teranga.json measure
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -183,7 +183,7 @@
 func (a *Agent) join(ctx context.Context, n Announcement) {
 	node := spar.Node{
 		ID: spar.NodeID(a.cfg.VM + "." + a.deps.Incarnation()), VM: a.cfg.VM, Service: n.Service,
-		Zone: a.cfg.Zone, Region: a.cfg.Region, HTTPAddr: a.cfg.HTTPAddr, PeerAddr: a.cfg.PeerAddr,
+		Zone: a.cfg.Zone, Region: a.cfg.Region, HTTPAddr: a.cfg.AdvertiseHTTP, PeerAddr: a.cfg.AdvertisePeer,
 		Capacity:     spar.Capacity{Slots: n.Slots, Conns: n.Conns},
 		ChecksGrants: n.ChecksGrants, State: spar.NodeLive,
 	}
--- a/cmd/backend/main.go
+++ b/cmd/backend/main.go
@@ -45,11 +45,20 @@
 	grants := app.Flag("checks-grants", "Refuse epochs lower than the highest seen.").Bool()
 	chunk := app.Flag("chunk-delay", "Pause between two chunks of a template.").Default("2ms").Duration()
 
+	runs := app.Flag("runs", "File to which each run is appended as a JSON line.").String()
+
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 
-	s := server.New(server.Config{
-		Name: *addr, Slots: *own, WorkMs: *work, ChecksGrants: *grants, ChunkDelay: *chunk,
-	})
+	cfg := server.Config{Name: *addr, Slots: *own, WorkMs: *work, ChecksGrants: *grants, ChunkDelay: *chunk}
+
+	if *runs != "" {
+		f, err := os.OpenFile(*runs, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o644)
+		kingpin.FatalIfError(err, "open run records")
+
+		cfg.Records = f
+	}
+
+	s := server.New(cfg)
 	announcer := &announcer{
 		url: "http://" + *spard + "/announce",
 		body: agent.Announcement{
--- a/cmd/backend/server/server.go
+++ b/cmd/backend/server/server.go
@@ -4,6 +4,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"strconv"
@@ -39,6 +40,8 @@
 	ChecksGrants bool
 	// ChunkDelay is the pause between two chunks of a template download.
 	ChunkDelay time.Duration
+	// Records takes a JSON line when a run begins and one when it ends. It may be nil.
+	Records io.Writer
 }
 
 // Fault is the set of faults in force.
@@ -283,18 +286,39 @@
 		Slot: r.Header.Get(spar.HeaderSlot), Epoch: epoch, StartMs: time.Now().UnixMilli(), Most: s.inFlight,
 	}
 
-	if len(s.runs) < runsKept {
-		s.runs = append(s.runs, run)
+	if len(s.runs) >= runsKept {
+		s.runs = s.runs[:0]
 	}
 
+	s.runs = append(s.runs, run)
+	s.write(run)
+
 	return len(s.runs) - 1
 }
 
+// write appends a run to the records. Each line is one system call, so that the records of a
+// killed process hold every run that began.
+func (s *Server) write(run Run) {
+	if s.cfg.Records == nil {
+		return
+	}
+
+	line, err := json.Marshal(run)
+	if err != nil {
+		panic("server: run can't be encoded: " + err.Error())
+	}
+
+	_, _ = s.cfg.Records.Write(append(line, '\n'))
+}
+
 func (s *Server) end(run int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
-	s.runs[run].EndMs = time.Now().UnixMilli()
+	if run < len(s.runs) {
+		s.runs[run].EndMs = time.Now().UnixMilli()
+		s.write(s.runs[run])
+	}
 }
 
 // work takes the request's work time and reports false if the caller canceled.
@@ -331,3 +355,10 @@
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	_, _ = fmt.Fprintf(w, "%s %s by %s\n", r.Method, r.URL.Path, s.cfg.Name)
 }
+
+// Service returns the service that the run's path names.
+func (r Run) Service() string {
+	name, _, _ := strings.Cut(strings.TrimPrefix(r.Path, "/"), "/")
+
+	return name
+}
--- /dev/null
+++ b/cmd/sparload/main.go
@@ -0,0 +1,118 @@
+// Sparload sends open-loop load to a deployment and runs experiments on it.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"sardinespar.example/spar/cmd/sparload/exper"
+	"sardinespar.example/spar/cmd/sparload/launch"
+	"sardinespar.example/spar/cmd/sparload/report"
+)
+
+const version = "0.1.0"
+
+// The exit statuses.
+const (
+	exitFailed = 1
+	exitBroken = 3
+)
+
+var errBroken = errors.New("a promise was broken")
+
+func main() {
+	app := kingpin.New("sparload", "Starts a deployment as separate processes, sends it load, and measures.")
+	app.Version(version)
+	app.HelpFlag.Short('h')
+
+	file := app.Flag("deployment", "Deployment file.").Default("deploy/quilt.ini").ExistingFile()
+	bin := app.Flag("bin", "Directory of the programs.").Default("bin").ExistingDir()
+	dir := app.Flag("dir", "Directory for logs and run records.").Default(os.TempDir()).String()
+	seed := app.Flag("seed", "Seed of the traffic.").Default("1").Uint64()
+	jsonFile := app.Flag("json", "File for machine-readable results.").String()
+
+	demo := app.Command("demo", "Take a zone out and back under traffic. Exit status 3 if a promise was broken.")
+	measure := app.Command("measure", "Run all scenarios against their baselines.")
+	runs := measure.Flag("runs", "Runs of each scenario.").Default("1").Int()
+	slopes := app.Command("slopes", "Measure the control cost of idle fleets of several sizes.")
+	sizes := slopes.Flag("size", "Multiple of the deployment's size; may be repeated.").Default("1", "2", "4").Ints()
+
+	command := kingpin.MustParse(app.Parse(os.Args[1:]))
+
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+
+	d, err := launch.ReadDeployment(*file)
+	kingpin.FatalIfError(err, "deployment")
+	kingpin.FatalIfError(os.MkdirAll(*dir, 0o755), "directory")
+
+	dirs := exper.Dirs{Bin: *bin, Dir: *dir}
+
+	var result any
+
+	switch command {
+	case demo.FullCommand():
+		result, err = runDemo(ctx, d, dirs, *seed, os.Stdout)
+	case measure.FullCommand():
+		result, err = runMeasure(ctx, d, dirs, *seed, *runs, os.Stdout)
+	case slopes.FullCommand():
+		result, err = runSlopes(ctx, d, dirs, *sizes, os.Stdout)
+	}
+
+	if *jsonFile != "" {
+		err = errors.Join(err, writeJSON(*jsonFile, result))
+	}
+
+	exit(err)
+}
+
+func exit(err error) {
+	if err == nil {
+		return
+	}
+
+	fmt.Fprintln(os.Stderr, "sparload:", err)
+
+	if errors.Is(err, errBroken) {
+		os.Exit(exitBroken)
+	}
+
+	os.Exit(exitFailed)
+}
+
+func writeJSON(file string, value any) error {
+	f, err := os.Create(file)
+	if err != nil {
+		return fmt.Errorf("write results: %w", err)
+	}
+
+	return errors.Join(report.PrintJSON(f, value), f.Close())
+}
+
+func runDemo(
+	ctx context.Context, d launch.Deployment, dirs exper.Dirs, seed uint64, out io.Writer,
+) (report.Summary, error) {
+	fmt.Fprintf(out, "starting %s: %d services, zones %v\n", d.Name, len(d.Services), d.Zones)
+
+	s, err := exper.Run(ctx, d, dirs, exper.ZoneMove(d), seed, out)
+	if err != nil {
+		return s, err
+	}
+
+	if err := report.Print(out, s); err != nil {
+		return s, err
+	}
+
+	if n := s.Verdict.Broken(); n > 0 {
+		return s, fmt.Errorf("%w: %d cases", errBroken, n)
+	}
+
+	return s, nil
+}
--- /dev/null
+++ b/cmd/sparload/reading.go
@@ -0,0 +1,77 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"sardinespar.example/spar/cmd/sparload/launch"
+)
+
+// reading is the sum of all nodes' counters at one moment.
+type reading struct {
+	at                     time.Time
+	cpu                    time.Duration
+	rss                    int64
+	sent, received         float64
+	reads, writes, refused float64
+}
+
+func read(ctx context.Context, f *launch.Fleet) (reading, error) {
+	r := reading{at: time.Now()}
+
+	for _, v := range f.VMs {
+		u, err := v.Spard.Usage()
+		if err != nil {
+			return r, fmt.Errorf("%s: %w", v.Name, err)
+		}
+
+		r.cpu += u.CPU
+		r.rss += u.RSSBytes
+
+		var vars struct {
+			Sent     float64 `json:"spar_peers_sent_bytes"`
+			Received float64 `json:"spar_peers_received_bytes"`
+		}
+		if err := getJSON(ctx, "http://"+v.LocalAddr()+"/debug/vars", &vars); err != nil {
+			return r, fmt.Errorf("%s: %w", v.Name, err)
+		}
+
+		r.sent += vars.Sent
+		r.received += vars.Received
+	}
+
+	var stats struct {
+		Reads   float64 `json:"reads"`
+		Writes  float64 `json:"writes"`
+		Refused float64 `json:"refused"`
+	}
+	if err := getJSON(ctx, "http://"+f.PlatformAddr()+"/admin/stats", &stats); err != nil {
+		return r, err
+	}
+
+	r.reads, r.writes, r.refused = stats.Reads, stats.Writes, stats.Refused
+
+	return r, nil
+}
+
+func getJSON(ctx context.Context, url string, value any) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
+	if err != nil {
+		return fmt.Errorf("get %s: %w", url, err)
+	}
+
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return fmt.Errorf("get %s: %w", url, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+
+	if err := json.NewDecoder(resp.Body).Decode(value); err != nil {
+		return fmt.Errorf("decode %s: %w", url, err)
+	}
+
+	return nil
+}
--- /dev/null
+++ b/cmd/sparload/slopes.go
@@ -0,0 +1,116 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"sardinespar.example/spar/cmd/sparload/exper"
+	"sardinespar.example/spar/cmd/sparload/launch"
+)
+
+const (
+	settleTime  = 8 * time.Second
+	sampleTime  = 20 * time.Second
+	slopesReady = 90 * time.Second
+)
+
+// sample is the control cost of an idle fleet, per node unless stated.
+type sample struct {
+	Nodes         int     `json:"nodes"`
+	ReadySeconds  float64 `json:"ready_s"`
+	CPUPercent    float64 `json:"cpu_percent_of_core"`
+	RSSMegabytes  float64 `json:"rss_mb"`
+	SentKBs       float64 `json:"sent_kb_per_s"`
+	ReceivedKBs   float64 `json:"received_kb_per_s"`
+	StoreReads    float64 `json:"store_reads_per_s_fleet"`
+	StoreWrites   float64 `json:"store_writes_per_s_fleet"`
+	StoreRejected float64 `json:"store_refused_per_s_fleet"`
+}
+
+// runSlopes measures idle fleets of several sizes.
+func runSlopes(
+	ctx context.Context, d launch.Deployment, dirs exper.Dirs, sizes []int, out io.Writer,
+) ([]sample, error) {
+	var samples []sample
+
+	d.LinkMs = 0
+
+	for _, size := range sizes {
+		s, err := measureIdle(ctx, d.Scaled(size), dirs)
+		if err != nil {
+			return samples, fmt.Errorf("size %d: %w", size, err)
+		}
+
+		samples = append(samples, s)
+	}
+
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, "nodes\tready s\tCPU % of core\tRSS MB\tsent KB/s\treceived KB/s\treads/s\twrites/s\trefused/s\t")
+
+	for _, s := range samples {
+		fmt.Fprintf(w, "%d\t%.1f\t%.2f\t%.1f\t%.2f\t%.2f\t%.1f\t%.1f\t%.1f\t\n", s.Nodes, s.ReadySeconds, s.CPUPercent,
+			s.RSSMegabytes, s.SentKBs, s.ReceivedKBs, s.StoreReads, s.StoreWrites, s.StoreRejected)
+	}
+
+	return samples, w.Flush()
+}
+
+func measureIdle(ctx context.Context, d launch.Deployment, dirs exper.Dirs) (sample, error) {
+	dir, err := os.MkdirTemp(dirs.Dir, "idle-")
+	if err != nil {
+		return sample{}, fmt.Errorf("make directory: %w", err)
+	}
+
+	began := time.Now()
+
+	f, err := launch.Start(ctx, d, launch.Options{Bin: dirs.Bin, Dir: dir, WriteRate: 300, ReadRate: 2000})
+	defer f.Stop()
+
+	if err != nil {
+		return sample{}, err
+	}
+
+	ready, cancel := context.WithTimeout(ctx, slopesReady)
+	defer cancel()
+
+	if err := f.Ready(ready); err != nil {
+		return sample{}, err
+	}
+
+	s := sample{Nodes: len(f.VMs), ReadySeconds: time.Since(began).Seconds()}
+
+	time.Sleep(settleTime)
+
+	before, err := read(ctx, f)
+	if err != nil {
+		return s, err
+	}
+
+	time.Sleep(sampleTime)
+
+	after, err := read(ctx, f)
+	if err != nil {
+		return s, err
+	}
+
+	return s.between(before, after), nil
+}
+
+func (s sample) between(a, b reading) sample {
+	seconds := b.at.Sub(a.at).Seconds()
+	perNode := func(x float64) float64 { return x / seconds / float64(s.Nodes) }
+
+	s.CPUPercent = perNode((b.cpu - a.cpu).Seconds()) * 100
+	s.RSSMegabytes = float64(b.rss) / float64(s.Nodes) / 1e6
+	s.SentKBs = perNode(b.sent-a.sent) / 1000
+	s.ReceivedKBs = perNode(b.received-a.received) / 1000
+	s.StoreReads = (b.reads - a.reads) / seconds
+	s.StoreWrites = (b.writes - a.writes) / seconds
+	s.StoreRejected = (b.refused - a.refused) / seconds
+
+	return s
+}
--- a/config/keys.go
+++ b/config/keys.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"cmp"
 	"fmt"
 	"net"
 	"net/url"
@@ -48,6 +49,10 @@
 		address("http", "address for callers and other nodes' requests", func(s *Settings, v string) { s.HTTPAddr = v }),
 		address("peer", "address for control messages", func(s *Settings, v string) { s.PeerAddr = v }),
 		address("local", "address for announcements and metrics", func(s *Settings, v string) { s.LocalAddr = v }),
+		advertised("advertise_http", "address that others use for http, if it differs",
+			func(s *Settings, v string) { s.AdvertiseHTTP = cmp.Or(v, s.HTTPAddr) }),
+		advertised("advertise_peer", "address that others use for peer, if it differs",
+			func(s *Settings, v string) { s.AdvertisePeer = cmp.Or(v, s.PeerAddr) }),
 	}
 }
 
@@ -113,10 +118,26 @@
 		set: func(s *Settings, v string) bool {
 			set(s, v)
 
-			host, port, err := net.SplitHostPort(v)
-			n, portErr := strconv.Atoi(port)
+			return validAddress(v)
+		},
+	}
+}
+
+func validAddress(v string) bool {
+	host, port, err := net.SplitHostPort(v)
+	n, portErr := strconv.Atoi(port)
+
+	return err == nil && net.ParseIP(host) != nil && portErr == nil && n > 0 && n < 1<<16
+}
+
+// advertised returns an address setting that may be empty.
+func advertised(key, help string, set func(*Settings, string)) Key {
+	return Key{
+		Section: "listen", Name: key, Accepted: "IP:PORT or empty", Help: help,
+		set: func(s *Settings, v string) bool {
+			set(s, v)
 
-			return err == nil && net.ParseIP(host) != nil && portErr == nil && n > 0 && n < 1<<16
+			return v == "" || validAddress(v)
 		},
 	}
 }
--- a/config/settings.go
+++ b/config/settings.go
@@ -15,6 +15,10 @@
 	PeerAddr  string
 	LocalAddr string
 
+	// AdvertiseHTTP and AdvertisePeer are the addresses that others use.
+	AdvertiseHTTP string
+	AdvertisePeer string
+
 	StoreURL     string
 	StoreTimeout spar.Millis
 
