Judge experiments by what callers saw and servers ran

Downloads lost with the VM that they entered through are counted apart, since the caller's connection ends there.

--- a/cmd/backend/server/server.go
+++ b/cmd/backend/server/server.go
@@ -67,8 +67,10 @@
 	Epoch   int64  `json:"epoch"`
 	StartMs int64  `json:"start_ms"`
 	EndMs   int64  `json:"end_ms"`
-	// Most is the number of requests in flight when this one began.
-	Most int `json:"in_flight"`
+	// InFlight is the number of requests in flight when this one began, Slots what the server bears.
+	InFlight int  `json:"in_flight"`
+	Slots    int  `json:"slots"`
+	Cold     bool `json:"cold"`
 }
 
 // Server is the stand-in.
@@ -81,7 +83,6 @@
 	coldUntil time.Time
 	frozen    time.Time
 	inFlight  int
-	most      int
 	epochs    map[string]int64
 	runs      []Run
 	reported  report
@@ -246,7 +247,6 @@
 	}
 
 	s.inFlight++
-	s.most = max(s.most, s.inFlight)
 
 	return s.fault, cold, 0
 }
@@ -283,7 +283,8 @@
 	run := Run{
 		Request: r.Header.Get(spar.HeaderRequest), Key: r.Header.Get(spar.HeaderKey),
 		Token: r.Header.Get(spar.HeaderToken), Method: r.Method, Path: r.URL.Path,
-		Slot: r.Header.Get(spar.HeaderSlot), Epoch: epoch, StartMs: time.Now().UnixMilli(), Most: s.inFlight,
+		Slot: r.Header.Get(spar.HeaderSlot), Epoch: epoch, StartMs: time.Now().UnixMilli(),
+		InFlight: s.inFlight, Slots: s.cfg.Slots, Cold: time.Now().Before(s.coldUntil),
 	}
 
 	if len(s.runs) >= runsKept {
--- a/cmd/sparload/exper/scenario.go
+++ b/cmd/sparload/exper/scenario.go
@@ -56,6 +56,7 @@
 	Bin     string
 	windows []judge.Window
 	open    map[spar.Zone]int64
+	failed  []string
 }
 
 // Dirs are the directories of programs and of an experiment's files.
@@ -103,7 +104,7 @@
 		return report.Summary{}, err
 	}
 
-	s := report.Summarize(d.Name+": "+sc.Name, results, runs, judge.Judge(results, runs, scene.windows))
+	s := report.Summarize(d.Name+": "+sc.Name, results, runs, judge.Judge(results, runs, scene.windows, scene.failed))
 
 	return s.WithChurn(churn(d, before, after)), nil
 }
--- a/cmd/sparload/exper/steps.go
+++ b/cmd/sparload/exper/steps.go
@@ -60,7 +60,9 @@
 // Kill ends a VM.
 func Kill(service string, n int) func(context.Context, *Scene) error {
 	return func(_ context.Context, s *Scene) error {
-		s.VM(service, n).Kill()
+		v := s.VM(service, n)
+		v.Kill()
+		s.failed = append(s.failed, v.HTTPAddr())
 
 		return nil
 	}
@@ -81,7 +83,9 @@
 // Freeze stops a VM without its knowledge.
 func Freeze(service string, n int) func(context.Context, *Scene) error {
 	return func(_ context.Context, s *Scene) error {
-		s.VM(service, n).Freeze()
+		v := s.VM(service, n)
+		v.Freeze()
+		s.failed = append(s.failed, v.HTTPAddr())
 
 		return nil
 	}
--- a/cmd/sparload/judge/judge.go
+++ b/cmd/sparload/judge/judge.go
@@ -16,7 +16,7 @@
 	"sardinespar.example/spar/cmd/sparload/load"
 )
 
-// Verdict counts the broken promises of a run. All counts but those of OK must be 0.
+// Verdict counts the broken promises of a run. All counts but EntryLosses must be 0.
 type Verdict struct {
 	SecondRuns     int `json:"second_runs"`
 	FalseNotRun    int `json:"false_not_run"`
@@ -26,12 +26,17 @@
 	LostDownloads  int `json:"lost_downloads"`
 	StaleOwnerRuns int `json:"stale_owner_runs"`
 	WorkAfterOut   int `json:"work_after_out"`
+	// Overloads counts runs that began with more requests in flight than the server bears.
+	Overloads int `json:"overloads"`
+	// EntryLosses counts downloads lost with their connection, when the VM that they entered
+	// through was killed or frozen.
+	EntryLosses int `json:"entry_losses"`
 }
 
 // Broken returns the number of broken promises.
 func (v Verdict) Broken() int {
 	return v.SecondRuns + v.FalseNotRun + v.LostRuns + v.MixedAnswers + v.CutAnswers + v.LostDownloads +
-		v.StaleOwnerRuns + v.WorkAfterOut
+		v.StaleOwnerRuns + v.WorkAfterOut + v.Overloads
 }
 
 // Run is a backend server's run with the server's name and zone.
@@ -73,8 +78,8 @@
 	return runs, nil
 }
 
-// Judge counts broken promises.
-func Judge(results []load.Result, runs []Run, windows []Window) Verdict {
+// Judge counts broken promises. Failed holds the addresses of VMs that were killed or frozen.
+func Judge(results []load.Result, runs []Run, windows []Window, failed []string) Verdict {
 	v := Verdict{StaleOwnerRuns: staleOwners(runs), WorkAfterOut: workAfterOut(runs, windows)}
 	byToken := map[string]int{}
 
@@ -82,6 +87,10 @@
 		if r.Token != "" {
 			byToken[r.Token]++
 		}
+
+		if r.InFlight > r.Slots {
+			v.Overloads++
+		}
 	}
 
 	for _, n := range byToken {
@@ -91,13 +100,13 @@
 	}
 
 	for _, r := range results {
-		v = v.withResult(r, byToken)
+		v = v.withResult(r, byToken, slices.Contains(failed, r.Entry))
 	}
 
 	return v
 }
 
-func (v Verdict) withResult(r load.Result, byToken map[string]int) Verdict {
+func (v Verdict) withResult(r load.Result, byToken map[string]int, entryFailed bool) Verdict {
 	if r.Mixed {
 		v.MixedAnswers++
 	}
@@ -106,7 +115,10 @@
 		v.CutAnswers++
 	}
 
-	if r.Lost {
+	switch {
+	case r.Lost && entryFailed:
+		v.EntryLosses++
+	case r.Lost:
 		v.LostDownloads++
 	}
 
--- a/cmd/sparload/load/request.go
+++ b/cmd/sparload/load/request.go
@@ -113,7 +113,9 @@
 }
 
 func (r *Runner) send(ctx context.Context, q request, token string) sent {
-	req, err := http.NewRequestWithContext(ctx, q.method(), q.url(r.entry()), http.NoBody)
+	entry := r.entry()
+
+	req, err := http.NewRequestWithContext(ctx, q.method(), q.url(entry), http.NoBody)
 	if err != nil {
 		panic("load: request can't be made: " + err.Error())
 	}
@@ -126,14 +128,14 @@
 
 	resp, err := r.client.Do(req)
 	if err != nil {
-		return sent{Result: Result{Outcome: spar.OutcomeUnknown, Error: err.Error()}}
+		return sent{Result: Result{Outcome: spar.OutcomeUnknown, Error: err.Error(), Entry: entry}}
 	}
 	defer func() { _ = resp.Body.Close() }()
 
 	out := sent{
 		Result: Result{
 			Outcome: spar.Outcome(resp.Header.Get(spar.HeaderOutcome)), Status: resp.StatusCode,
-			Reason: resp.Header.Get(spar.HeaderReason), FirstMs: r.since(time.Now()),
+			Reason: resp.Header.Get(spar.HeaderReason), FirstMs: r.since(time.Now()), Entry: entry,
 		},
 		fresh: resp.Header.Get(spar.HeaderToken),
 	}
--- a/cmd/sparload/load/result.go
+++ b/cmd/sparload/load/result.go
@@ -15,6 +15,8 @@
 	Status  int          `json:"status"`
 	Reason  string       `json:"reason,omitempty"`
 	Error   string       `json:"error,omitempty"`
+	// Entry is the address of the node that the request was last sent to.
+	Entry string `json:"entry"`
 	// Sends counts how often the caller sent the request.
 	Sends int `json:"sends"`
 	// ArrivalMs, FirstMs and DoneMs are milliseconds since the start of the run: when the request
--- a/cmd/sparload/report/print.go
+++ b/cmd/sparload/report/print.go
@@ -27,6 +27,7 @@
 		fmt.Fprintf(out, "imbalance %s\t%.2f\t\n", service, s.Imbalance[service])
 	}
 
+	fmt.Fprintf(out, "most in flight while cold\t%d\t\n", s.MostCold)
 	fmt.Fprintf(out, "changes of owner\t%d\t\n", s.Churn)
 
 	if err := out.Flush(); err != nil {
@@ -35,9 +36,11 @@
 
 	v := s.Verdict
 	_, err := fmt.Fprintf(w, "second runs %d, false \"not run\" %d, completed but not run %d, mixed answers %d, "+
-		"cut answers that looked whole %d, lost downloads %d, runs by a former owner %d, runs in a zone taken out %d\n",
+		"cut answers that looked whole %d, lost downloads %d, runs by a former owner %d, runs in a zone taken out %d, "+
+		"runs beyond what the server bears %d; "+
+		"downloads lost with the VM they entered through %d\n",
 		v.SecondRuns, v.FalseNotRun, v.LostRuns, v.MixedAnswers, v.CutAnswers, v.LostDownloads, v.StaleOwnerRuns,
-		v.WorkAfterOut)
+		v.WorkAfterOut, v.Overloads, v.EntryLosses)
 
 	return err
 }
--- a/cmd/sparload/report/summary.go
+++ b/cmd/sparload/report/summary.go
@@ -40,6 +40,8 @@
 	Verdict judge.Verdict `json:"verdict"`
 	// Imbalance is the most loaded upstream's runs over the mean, for each service.
 	Imbalance map[string]float64 `json:"imbalance"`
+	// MostCold is the most requests in flight on one backend server in its first seconds.
+	MostCold int `json:"most_in_flight_cold"`
 	// Churn is the number of changes of owner.
 	Churn int `json:"churn"`
 }
@@ -47,6 +49,13 @@
 // Summarize computes the measures of the named streams.
 func Summarize(name string, results []load.Result, runs []judge.Run, verdict judge.Verdict) Summary {
 	s := Summary{Name: name, Verdict: verdict, Imbalance: imbalance(runs)}
+
+	for _, r := range runs {
+		if r.Cold {
+			s.MostCold = max(s.MostCold, r.InFlight)
+		}
+	}
+
 	byStream := map[string][]load.Result{}
 
 	for _, r := range results {
