--- a/cmd/sparload/measure.go
+++ b/cmd/sparload/measure.go
@@ -31,39 +31,76 @@
 	}
 }
 
+// measured is the machine-readable result of all comparisons.
+type measured struct {
+	Deployment string         `json:"deployment"`
+	Seed       uint64         `json:"seed"`
+	Pairs      []report.Pair  `json:"pairs"`
+	Ratios     []report.Ratio `json:"ratios"`
+}
+
 // runMeasure runs every scenario with the product's settings and its baseline's, in turn.
 func runMeasure(
 	ctx context.Context, d launch.Deployment, dirs exper.Dirs, seed uint64, runs int, out io.Writer,
-) ([]report.Summary, error) {
-	var all []report.Summary
-
-	broken := 0
+) (measured, error) {
+	m := measured{Deployment: d.Name, Seed: seed}
 
 	for _, c := range comparisons(d) {
 		for n := range uint64(runs) {
-			variants := []exper.Scenario{c.scenario, c.scenario.WithSet(c.scenario.Name+" (baseline)", c.baseline...)}
-			for i, sc := range variants {
-				s, err := exper.Run(ctx, d, dirs, sc, seed+n, out)
-				if err != nil {
-					return all, fmt.Errorf("%s: %w", sc.Name, err)
-				}
-
-				if err := report.Print(out, s); err != nil {
-					return all, err
-				}
-
-				all = append(all, s)
-
-				if i == 0 {
-					broken += s.Verdict.Broken()
-				}
+			pair, err := runPair(ctx, d, dirs, c, seed+n, out)
+			if err != nil {
+				return m, fmt.Errorf("%s: %w", c.scenario.Name, err)
 			}
+
+			m.Pairs = append(m.Pairs, pair)
 		}
 	}
 
+	m.Ratios = report.Ratios(m.Pairs)
+
+	if err := report.PrintRatios(out, m.Ratios); err != nil {
+		return m, err
+	}
+
+	if _, err := report.Plot(dirs.Dir, d.Name, m.Ratios); err != nil {
+		return m, err
+	}
+
+	broken := 0
+	for _, p := range m.Pairs {
+		broken += p.Product.Verdict.Broken()
+	}
+
 	if broken > 0 {
-		return all, fmt.Errorf("%w: %d cases", errBroken, broken)
+		return m, fmt.Errorf("%w: %d cases", errBroken, broken)
+	}
+
+	return m, nil
+}
+
+func runPair(
+	ctx context.Context, d launch.Deployment, dirs exper.Dirs, c comparison, seed uint64, out io.Writer,
+) (report.Pair, error) {
+	pair := report.Pair{Scenario: c.scenario.Name}
+
+	for _, variant := range []struct {
+		scenario exper.Scenario
+		to       *report.Summary
+	}{
+		{scenario: c.scenario, to: &pair.Product},
+		{scenario: c.scenario.WithSet(c.scenario.Name+" (baseline)", c.baseline...), to: &pair.Baseline},
+	} {
+		s, err := exper.Run(ctx, d, dirs, variant.scenario, seed, out)
+		if err != nil {
+			return pair, err
+		}
+
+		if err := report.Print(out, s); err != nil {
+			return pair, err
+		}
+
+		*variant.to = s
 	}
 
-	return all, nil
+	return pair, nil
 }
