--- a/fleet/replica.go
+++ b/fleet/replica.go
@@ -35,10 +35,12 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 
-	next, changed := r.view.Load().with(rows, complete)
+	before := r.view.Load()
+	next, changed := before.with(rows, complete)
 	r.view.Store(next)
 
-	if changed {
+	// The first completeness counts as a change: some readers wait for it.
+	if changed || (before.complete == 0 && complete > 0) {
 		close(r.changed)
 		r.changed = make(chan struct{})
 	}
--- /dev/null
+++ b/preset/keys.go
@@ -0,0 +1,141 @@
+package preset
+
+import (
+	"fmt"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+
+	"sardinespar.example/spar/config"
+)
+
+const sectionPrefix = "department "
+
+// The bounds of numbers in presets.
+const (
+	maxTarget = 86_400_000
+	maxQueue  = 100_000
+	maxMoves  = 64
+)
+
+var namePattern = regexp.MustCompile(`^[A-Za-z0-9_-]{1,64}$`)
+
+const acceptedName = "1 to 64 letters, digits, - or _"
+
+// key is one key of a department's section.
+type key struct {
+	name     string
+	accepted string
+	help     string
+	required bool
+	set      func(*Department, string) bool
+	get      func(Department) string
+}
+
+// keys returns all keys of a department's section in the order of the reference.
+func keys() []key {
+	return slices.Concat(objectiveKeys(), policyKeys())
+}
+
+func objectiveKeys() []key {
+	kinds := []string{string(TailLatency), string(UnavailableTime), string(Churn)}
+
+	return []key{
+		{
+			name: "service", accepted: acceptedName, help: "service that the department runs", required: true,
+			set: func(d *Department, v string) bool {
+				d.Service = v
+
+				return namePattern.MatchString(v)
+			},
+			get: func(d Department) string { return d.Service },
+		},
+		{
+			name: "objective", accepted: strings.Join(kinds, ", "), help: "what the target bounds", required: true,
+			set: func(d *Department, v string) bool {
+				d.Objective.Kind = Kind(v)
+
+				return slices.Contains(kinds, v)
+			},
+			get: func(d Department) string { return string(d.Objective.Kind) },
+		},
+		number("target", 1, maxTarget, "target in the unit that the objective names", true,
+			func(d *Department) *int { return &d.Objective.Target }),
+	}
+}
+
+func policyKeys() []key {
+	return []key{
+		choice("admission", []string{config.AdmissionAdaptive, config.AdmissionFixed}, "how calls are admitted",
+			func(d *Department) *string { return &d.Policy.Admission }),
+		choice("picker", []string{config.PickerTwoChoices, config.PickerRoundRobin}, "how upstreams are chosen",
+			func(d *Department) *string { return &d.Policy.Picker }),
+		flag("hedging", "send slow idempotent calls to a second upstream",
+			func(d *Department) *bool { return &d.Policy.Hedging }),
+		flag("resume", "resume cut downloads on another upstream",
+			func(d *Department) *bool { return &d.Policy.Resume }),
+		number("max_queue", 0, maxQueue, "calls that may wait for a slot of one backend server", false,
+			func(d *Department) *int { return &d.Policy.MaxQueue }),
+		number("moves", 1, maxMoves, "slots that one receiver takes in at a time in planned moves", false,
+			func(d *Department) *int { return &d.Policy.Moves }),
+	}
+}
+
+func choice(name string, values []string, help string, at func(*Department) *string) key {
+	return key{
+		name: name, accepted: strings.Join(values, ", "), help: help,
+		set: func(d *Department, v string) bool {
+			*at(d) = v
+
+			return slices.Contains(values, v)
+		},
+		get: func(d Department) string { return *at(&d) },
+	}
+}
+
+func flag(name, help string, at func(*Department) *bool) key {
+	return key{
+		name: name, accepted: "true, false", help: help,
+		set: func(d *Department, v string) bool {
+			*at(d) = v == "true"
+
+			return v == "true" || v == "false"
+		},
+		get: func(d Department) string { return strconv.FormatBool(*at(&d)) },
+	}
+}
+
+func number(name string, least, most int, help string, required bool, at func(*Department) *int) key {
+	return key{
+		name: name, accepted: fmt.Sprintf("a whole number from %d to %d", least, most), help: help,
+		required: required,
+		set: func(d *Department, v string) bool {
+			n, err := strconv.Atoi(v)
+			*at(d) = n
+
+			return err == nil && n >= least && n <= most
+		},
+		get: func(d Department) string { return strconv.Itoa(*at(&d)) },
+	}
+}
+
+// Reference returns the reference of a preset's keys as a Markdown table.
+func Reference() string {
+	var b strings.Builder
+
+	b.WriteString("| key | default | accepted | meaning |\n|---|---|---|---|\n")
+
+	def := Department{Policy: DefaultPolicy()}
+
+	for _, k := range keys() {
+		value := k.get(def)
+		if k.required {
+			value = "required"
+		}
+
+		fmt.Fprintf(&b, "| `%s` | %s | %s | %s |\n", k.name, value, k.accepted, k.help)
+	}
+
+	return b.String()
+}
