Carry hybrid logical clock stamps with control messages

Events of several nodes could not be put in causal order, because clocks met only by chance. Pools count calls by method and result.

--- a/event/ring.go
+++ b/event/ring.go
@@ -2,6 +2,7 @@
 package event
 
 import (
+	"maps"
 	"sync"
 
 	spar "sardinespar.example/spar"
@@ -17,11 +18,13 @@
 	events []spar.Event
 	next   int
 	full   bool
+	counts map[spar.EventKind]int64
+	lost   int64
 }
 
 // NewRing returns a ring of size events; wall returns the wall clock's milliseconds.
 func NewRing(size int, wall func() int64) *Ring {
-	return &Ring{wall: wall, events: make([]spar.Event, size)}
+	return &Ring{wall: wall, events: make([]spar.Event, size), counts: map[spar.EventKind]int64{}}
 }
 
 // Named sets the node id that later events carry.
@@ -44,11 +47,33 @@
 		e.Node = r.node
 	}
 
+	r.counts[e.Kind]++
+
+	if r.full {
+		r.lost++
+	}
+
 	r.events[r.next] = e
 	r.next = (r.next + 1) % len(r.events)
 	r.full = r.full || r.next == 0
 }
 
+// Counts returns how many events of each kind were recorded since the start.
+func (r *Ring) Counts() map[spar.EventKind]int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	return maps.Clone(r.counts)
+}
+
+// Dropped returns how many events made way for newer ones.
+func (r *Ring) Dropped() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	return r.lost
+}
+
 // Observe moves the clock past a stamp received from another process.
 func (r *Ring) Observe(s spar.Stamp) {
 	r.mu.Lock()
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -55,6 +55,7 @@
 type Server struct {
 	mux   *Mux
 	count *Traffic
+	stamp Stamper
 	wg    sync.WaitGroup
 }
 
@@ -85,7 +86,8 @@
 
 func (s *Server) run(ctx context.Context, conn net.Conn) {
 	stream := jsonrpc2.NewPlainObjectStream(s.count.Conn(conn))
-	rpc := jsonrpc2.NewConn(ctx, stream, jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(s.mux.handle)))
+	rpc := jsonrpc2.NewConn(ctx, stream, jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(s.mux.handle)),
+		stamped(s.stamp)...)
 
 	select {
 	case <-ctx.Done():
@@ -99,6 +101,7 @@
 type Pool struct {
 	dial  Dialer
 	count *Traffic
+	stamp Stamper
 
 	mu    sync.Mutex
 	conns map[string]*jsonrpc2.Conn
@@ -111,6 +114,13 @@
 
 // Call calls a method of the peer at addr and decodes the result.
 func (p *Pool) Call(ctx context.Context, addr, method string, params, result any) error {
+	err := p.call(ctx, addr, method, params, result)
+	p.count.called(method, err)
+
+	return err
+}
+
+func (p *Pool) call(ctx context.Context, addr, method string, params, result any) error {
 	conn, err := p.conn(ctx, addr)
 	if err != nil {
 		return err
@@ -156,7 +166,7 @@
 	}
 
 	stream := jsonrpc2.NewPlainObjectStream(p.count.Conn(raw))
-	fresh := jsonrpc2.NewConn(context.WithoutCancel(ctx), stream, noCalls{})
+	fresh := jsonrpc2.NewConn(context.WithoutCancel(ctx), stream, noCalls{}, stamped(p.stamp)...)
 
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/peers/traffic.go
+++ b/peers/traffic.go
@@ -1,7 +1,9 @@
 package peers
 
 import (
+	"maps"
 	"net"
+	"sync"
 	"sync/atomic"
 )
 
@@ -9,6 +11,33 @@
 type Traffic struct {
 	sent     atomic.Int64
 	received atomic.Int64
+
+	mu    sync.Mutex
+	calls map[string]int64
+}
+
+// Calls returns the calls made so far by method and result, as in "lease.renew ok".
+func (t *Traffic) Calls() map[string]int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	return maps.Clone(t.calls)
+}
+
+func (t *Traffic) called(method string, err error) {
+	result := " ok"
+	if err != nil {
+		result = " failed"
+	}
+
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	if t.calls == nil {
+		t.calls = map[string]int64{}
+	}
+
+	t.calls[method+result]++
 }
 
 // Sent returns the bytes sent so far.
