--- /dev/null
+++ b/meter/table.go
@@ -0,0 +1,53 @@
+package meter
+
+import (
+	"context"
+
+	spar "sardinespar.example/spar"
+)
+
+// Table counts the calls of a table by verdict or result.
+type Table struct {
+	inner spar.Table
+	calls *Counters
+}
+
+// NewTable returns a table that counts its calls.
+func NewTable(t spar.Table, calls *Counters) Table {
+	return Table{inner: t, calls: calls}
+}
+
+// Get returns a row and whether it is there.
+func (t Table) Get(ctx context.Context, key string) (spar.Row, bool, error) {
+	row, ok, err := t.inner.Get(ctx, key)
+	t.count("get", err)
+
+	return row, ok, err
+}
+
+// Scan returns the rows under prefix written after since, and the table's revision.
+func (t Table) Scan(ctx context.Context, prefix string, since spar.Revision) ([]spar.Row, spar.Revision, error) {
+	rows, revision, err := t.inner.Scan(ctx, prefix, since)
+	t.count("scan", err)
+
+	return rows, revision, err
+}
+
+// Commit sends a transaction.
+func (t Table) Commit(ctx context.Context, txn spar.Txn) spar.Commit {
+	c := t.inner.Commit(ctx, txn)
+	t.calls.Add("commit " + string(c.Verdict))
+
+	return c
+}
+
+func (t Table) count(call string, err error) {
+	result := " ok"
+	if err != nil {
+		result = " failed"
+	}
+
+	t.calls.Add(call + result)
+}
+
+var _ spar.Table = Table{}
