Serve the operators' methods from every spard

Status, explanations, events, presets, withdrawals of zones and backend servers, and quarantines are served as ops.* on the peer listener. Changes carry an operation id and are resolved by reading back.

--- /dev/null
+++ b/admin/presets.go
@@ -0,0 +1,277 @@
+package admin
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+
+	spar "sardinespar.example/spar"
+	"sardinespar.example/spar/change"
+	"sardinespar.example/spar/fleet"
+	"sardinespar.example/spar/preset"
+)
+
+// Where an answer was read.
+const (
+	SourceTable   = "table"
+	SourceReplica = "replica"
+)
+
+// rollbackDepth bounds how far a rollback looks for a generation with another preset.
+const rollbackDepth = 100
+
+// PresetListResult holds all presets and the pointer's history, newest last.
+type PresetListResult struct {
+	Presets []preset.Preset `json:"presets"`
+	InForce *preset.Force   `json:"in_force"`
+	History []preset.Force  `json:"history"`
+	Source  string          `json:"source"`
+}
+
+func (s *Service) presetList(ctx context.Context, _ Empty) (PresetListResult, error) {
+	rows, source := s.current(ctx, fleet.PrefixPreset)
+	result := PresetListResult{Source: source, Presets: decodeAll[preset.Preset](rows)}
+
+	slices.SortFunc(result.Presets, func(a, b preset.Preset) int {
+		if a.Name != b.Name {
+			return strings.Compare(a.Name, b.Name)
+		}
+
+		return a.Version - b.Version
+	})
+
+	rows, forceSource := s.current(ctx, fleet.PrefixForce)
+	if forceSource == SourceReplica {
+		result.Source = SourceReplica
+	}
+
+	for _, f := range decodeAll[preset.Force](rows) {
+		if f.Preset != nil {
+			result.InForce = &f
+		} else {
+			result.History = append(result.History, f)
+		}
+	}
+
+	slices.SortFunc(result.History, func(a, b preset.Force) int { return int(a.Generation - b.Generation) })
+
+	return result, nil
+}
+
+func decodeAll[T any](rows []spar.Row) []T {
+	all := make([]T, 0, len(rows))
+
+	for _, row := range rows {
+		var value T
+		if json.Unmarshal(row.Value, &value) == nil {
+			all = append(all, value)
+		}
+	}
+
+	return all
+}
+
+// PresetShowParams names a preset as NAME/VERSION, or NAME for its highest version.
+type PresetShowParams struct {
+	ID string `json:"id"`
+}
+
+// PresetShowResult holds a preset and its INI form.
+type PresetShowResult struct {
+	Preset preset.Preset `json:"preset"`
+	Text   string        `json:"text"`
+}
+
+func (s *Service) presetShow(ctx context.Context, p PresetShowParams) (PresetShowResult, error) {
+	found, err := s.find(ctx, p.ID)
+
+	return PresetShowResult{Preset: found, Text: found.String()}, err
+}
+
+// find returns a preset by NAME/VERSION, by NAME, or the one in force for an empty id.
+func (s *Service) find(ctx context.Context, id string) (preset.Preset, error) {
+	list, err := s.presetList(ctx, Empty{})
+	if err != nil {
+		return preset.Preset{}, err
+	}
+
+	if id == "" {
+		if list.InForce == nil {
+			return preset.Preset{}, fmt.Errorf("no preset is in force")
+		}
+
+		return *list.InForce.Preset, nil
+	}
+
+	name, version, err := preset.SplitID(id)
+	if err != nil {
+		return preset.Preset{}, err
+	}
+
+	var found preset.Preset
+
+	for _, p := range list.Presets {
+		if p.Name == name && (version == 0 || p.Version == version) {
+			found = p
+		}
+	}
+
+	if found.Name == "" {
+		return found, fmt.Errorf("preset %s does not exist", id)
+	}
+
+	return found, nil
+}
+
+// PresetCheckParams holds the text of a preset file.
+type PresetCheckParams struct {
+	Text string `json:"text"`
+}
+
+// PresetCheckResult holds every fault of a preset file.
+type PresetCheckResult struct {
+	Faults []preset.Fault `json:"faults"`
+}
+
+func (s *Service) presetCheck(_ context.Context, p PresetCheckParams) (PresetCheckResult, error) {
+	_, faults := preset.Parse([]byte(p.Text))
+
+	return PresetCheckResult{Faults: faults}, nil
+}
+
+// PresetDiffParams names two presets; an empty one stands for the preset in force.
+type PresetDiffParams struct {
+	Before string `json:"before"`
+	After  string `json:"after"`
+}
+
+// PresetDiffResult holds the lines that differ.
+type PresetDiffResult struct {
+	Before string   `json:"before"`
+	After  string   `json:"after"`
+	Lines  []string `json:"lines"`
+}
+
+func (s *Service) presetDiff(ctx context.Context, p PresetDiffParams) (PresetDiffResult, error) {
+	before, err := s.find(ctx, p.Before)
+	if err != nil {
+		return PresetDiffResult{}, err
+	}
+
+	after, err := s.find(ctx, p.After)
+	if err != nil {
+		return PresetDiffResult{}, err
+	}
+
+	return PresetDiffResult{Before: before.ID(), After: after.ID(), Lines: preset.Diff(before, after)}, nil
+}
+
+// PresetCreateParams asks for the next version of a preset.
+type PresetCreateParams struct {
+	Name string `json:"name"`
+	Text string `json:"text"`
+	By   string `json:"by"`
+	Op   string `json:"op"`
+}
+
+// PresetCreateResult holds the outcome and the version that was made.
+type PresetCreateResult struct {
+	Result change.Result `json:"result"`
+	Preset preset.Preset `json:"preset"`
+}
+
+func (s *Service) presetCreate(ctx context.Context, p PresetCreateParams) (PresetCreateResult, error) {
+	if r, ok := identified(p.By, p.Op); !ok {
+		return PresetCreateResult{Result: r}, nil
+	}
+
+	ctx, cancel := s.bounded(ctx)
+	defer cancel()
+
+	made, r := s.presets.Create(ctx, p.Name, []byte(p.Text), p.By, p.Op)
+
+	return PresetCreateResult{Result: s.finish(r, spar.Event{}), Preset: made}, nil
+}
+
+// identified refuses a change without an operator or operation id: it could not be resolved.
+func identified(by, op string) (change.Result, bool) {
+	if by == "" || op == "" {
+		return change.Refuse(op, "a change needs an operator's name and an operation id"), false
+	}
+
+	return change.Result{}, true
+}
+
+func (s *Service) presetForce(ctx context.Context, c preset.Change) (change.Result, error) {
+	if r, ok := identified(c.By, c.Op); !ok {
+		return r, nil
+	}
+
+	ctx, cancel := s.bounded(ctx)
+	defer cancel()
+
+	return s.finish(s.presets.Force(ctx, c), spar.Event{}), nil
+}
+
+// RollbackParams asks for the preset that was in force before the generation that the operator saw.
+type RollbackParams struct {
+	Seen int64  `json:"seen"`
+	By   string `json:"by"`
+	Op   string `json:"op"`
+}
+
+func (s *Service) presetRollback(ctx context.Context, p RollbackParams) (change.Result, error) {
+	if r, ok := identified(p.By, p.Op); !ok {
+		return r, nil
+	}
+
+	bounded, cancel := s.bounded(ctx)
+	defer cancel()
+
+	before, err := s.before(bounded, p.Seen)
+	if err != nil {
+		return change.Result{Verdict: change.Unavailable, Op: p.Op, Detail: err.Error()}, nil
+	}
+
+	if before.Version == 0 {
+		return change.Refuse(p.Op, "no other preset was in force before generation %d", p.Seen), nil
+	}
+
+	return s.presetForce(ctx, preset.Change{
+		Name: before.Name, Version: before.Version, Seen: p.Seen, By: p.By, Op: p.Op,
+	})
+}
+
+// before returns the last history row before a generation that has another preset. History rows
+// never change, so a resent rollback finds the same one.
+func (s *Service) before(ctx context.Context, generation int64) (preset.Force, error) {
+	var seen preset.Force
+
+	for g := generation; g > max(0, generation-rollbackDepth); g-- {
+		row, ok, err := s.Table.Get(ctx, preset.ForceKey(g))
+		if err != nil {
+			return preset.Force{}, fmt.Errorf("read generation %d: %w", g, err)
+		}
+
+		if !ok {
+			return preset.Force{}, nil
+		}
+
+		var f preset.Force
+		if err := json.Unmarshal(row.Value, &f); err != nil {
+			return preset.Force{}, fmt.Errorf("decode generation %d: %w", g, err)
+		}
+
+		if g == generation {
+			seen = f
+		}
+
+		if f.ID() != seen.ID() {
+			return f, nil
+		}
+	}
+
+	return preset.Force{}, nil
+}
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -62,6 +62,7 @@
 	guard   *guard.Guard
 	handler *route.Handler
 	lease   *leaseRef
+	ops     operators
 
 	mu     sync.Mutex
 	member *fleet.Member
@@ -73,11 +74,13 @@
 func New(cfg config.Settings, deps Deps) *Agent {
 	a := &Agent{cfg: cfg, deps: deps, lease: &leaseRef{}, replica: fleet.NewReplica(), traffic: &peers.Traffic{}}
 	a.ring = event.NewRing(cfg.EventCount, deps.Wall)
-	a.pool = peers.NewPool(deps.Dial, a.traffic)
+	deps = a.metered(deps)
+	a.pool = peers.NewPool(deps.Dial, a.traffic).Stamped(a.ring)
 	a.spread = fleet.NewSync(a.replica, deps.Table, a.pool, deps.Clock, a.ring)
 	a.limiter = admit.NewFixed(deps.Clock, cfg.MaxQueue)
 	a.guard = guard.New(a.id, a.replica, a.lease, a.limiter, deps.HTTP, deps.Clock)
-	a.handler = route.New(a.id, a.replica, a.guard, deps.HTTP, pick.NewRobin(), deps.Clock)
+	a.handler = route.New(a.id, a.replica, a.guard, a.ops.sender(deps.HTTP), pick.NewRobin(), deps.Clock)
+	a.ops.serve(a)
 
 	return a
 }
@@ -86,15 +89,18 @@
 func (a *Agent) Run(ctx context.Context, ln Listeners) error {
 	mux := peers.NewMux()
 	a.spread.Register(mux)
+	a.ops.service.Register(mux)
 
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 
-	server := peers.NewServer(mux, a.traffic)
-	public := a.serveHTTP(ln.HTTP, a.handler)
+	server := peers.NewServer(mux, a.traffic).Stamped(a.ring)
+	public := a.serveHTTP(ln.HTTP, a.ops.entry(a.handler))
 	local := a.serveHTTP(ln.Local, a.localMux(background))
 
 	a.wg.Go(func() { a.spread.Run(background) })
+	a.wg.Go(func() { a.ops.follower.Run(background) })
+	a.wg.Go(func() { a.ops.service.Run(background) })
 	a.wg.Go(func() {
 		if err := server.Serve(background, ln.Peer); err != nil {
 			a.deps.Log.Error("peer listener stopped", "err", err)
--- a/agent/announce.go
+++ b/agent/announce.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"expvar"
 	"fmt"
 	"net/http"
 
@@ -57,7 +56,7 @@
 
 func (a *Agent) localMux(ctx context.Context) http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle("GET /debug/vars", expvar.Handler())
+	mux.Handle("GET /debug/vars", a.ops.metrics)
 	mux.HandleFunc("PUT /announce", func(w http.ResponseWriter, r *http.Request) { a.announce(ctx, w, r) })
 
 	return mux
