--- /dev/null
+++ b/cmd/sparctl/exit.go
@@ -0,0 +1,75 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+
+	"sardinespar.example/spar/change"
+)
+
+// The exit statuses.
+const (
+	exitOK          = 0
+	exitFailed      = 1
+	exitUsage       = 2
+	exitConflict    = 3
+	exitUnknown     = 4
+	exitLagging     = 5
+	exitUnavailable = 6
+)
+
+const exitHelp = `Exit statuses:
+  0  done
+  1  failed: no node answers, or the question has no answer
+  2  wrong arguments, or the change was refused because it is wrong
+  3  conflict: another operator's change came first; the message names it
+  4  unknown: the result can't be read yet; run the command again with the same --op
+  5  timeout: the nodes that the message names lag
+  6  unavailable: the change was not accepted, because the table service does not answer`
+
+// statusError is an error with the exit status that it leads to.
+type statusError struct {
+	status int
+	text   string
+}
+
+// Error returns the text.
+func (e *statusError) Error() string {
+	return e.text
+}
+
+func fail(status int, format string, args ...any) error {
+	return &statusError{status: status, text: fmt.Sprintf(format, args...)}
+}
+
+// statusOf returns the exit status of an error.
+func statusOf(err error) int {
+	var s *statusError
+	if errors.As(err, &s) {
+		return s.status
+	}
+
+	return exitFailed
+}
+
+// resultError returns the error of a change that was not accepted.
+func resultError(r change.Result) error {
+	switch r.Verdict {
+	case change.Accepted:
+		return nil
+	case change.Conflict:
+		return fail(exitConflict, "conflict: %s; look again before you change it", r.Detail)
+	case change.Refused:
+		text := "refused: " + r.Detail
+		for _, f := range r.Faults {
+			text += "\n  " + f
+		}
+
+		return fail(exitUsage, "%s", text)
+	case change.Unavailable:
+		return fail(exitUnavailable, "not accepted: %s", r.Detail)
+	default:
+		return fail(exitUnknown, "result is not known: %s\nrun the same command again with --op %s to learn it",
+			r.Detail, r.Op)
+	}
+}
--- /dev/null
+++ b/cmd/sparctl/main.go
@@ -0,0 +1,36 @@
+// Sparctl is the operators' command line.
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+)
+
+const (
+	version     = "0.1.0"
+	dialTimeout = time.Second
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	status := run(ctx, os.Args[1:], os.Stdout, os.Stderr, dial)
+
+	stop()
+	os.Exit(status)
+}
+
+func dial(ctx context.Context, addr string) (net.Conn, error) {
+	d := net.Dialer{Timeout: dialTimeout}
+
+	conn, err := d.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, fmt.Errorf("connect: %w", err)
+	}
+
+	return conn, nil
+}
--- /dev/null
+++ b/cmd/sparctl/page/page.go
@@ -0,0 +1,254 @@
+// Package page draws a time line as one self-contained HTML page with a lane for each node.
+package page
+
+import (
+	_ "embed"
+	"fmt"
+	"html/template"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	spar "sardinespar.example/spar"
+)
+
+//go:embed page.html
+var source string
+
+var parsed = template.Must(template.New("page").Parse(source))
+
+// The measures of the drawing in pixels.
+const (
+	left       = 240
+	width      = 1100
+	laneHeight = 22
+	top        = 40
+	gridLines  = 10
+)
+
+// mark is one event in the drawing.
+type mark struct {
+	X, Y  int
+	Color string
+	Kind  string
+	Title string
+}
+
+// arrow is a slot's way from one node to another.
+type arrow struct {
+	X1, Y1, X2, Y2 int
+	Color          string
+	Title          string
+}
+
+// lane is one node.
+type lane struct {
+	Node  spar.NodeID
+	Zone  spar.Zone
+	Y     int
+	Shade string
+	Text  int
+}
+
+// tick is a time on the axis; bands are operators' changes.
+type tick struct {
+	X     int
+	Label string
+}
+
+// legend is a kind with its color and number of events.
+type legend struct {
+	Kind  string
+	Color string
+	Count int
+}
+
+type row struct {
+	Time, Node, Kind, Text string
+}
+
+type drawing struct {
+	Width, Height, Left, Top, Bottom int
+	From, To                         string
+	Lanes                            []lane
+	Marks                            []mark
+	Arrows                           []arrow
+	Ticks                            []tick
+	Bands                            []tick
+	Legend                           []legend
+	Rows                             []row
+	Missing                          []spar.NodeID
+}
+
+// Write writes the page. Lanes go by zone, then by node.
+func Write(w io.Writer, events []spar.Event, missing []spar.NodeID, zones map[spar.NodeID]spar.Zone) error {
+	if err := parsed.Execute(w, draw(events, missing, zones)); err != nil {
+		return fmt.Errorf("fill page: %w", err)
+	}
+
+	return nil
+}
+
+func draw(events []spar.Event, missing []spar.NodeID, zones map[spar.NodeID]spar.Zone) drawing {
+	lanes := lanesOf(events, zones)
+	d := drawing{
+		Width: left + width + 20, Height: top + laneHeight*len(lanes) + 20, Left: left, Top: top,
+		Bottom: top + laneHeight*len(lanes), Lanes: lanes, Missing: missing,
+	}
+
+	if len(events) == 0 {
+		return d
+	}
+
+	from, to := events[0].Stamp.Wall, events[len(events)-1].Stamp.Wall
+	d.From, d.To = clock(from), clock(to)
+	span := max(1, to-from)
+	x := func(wall int64) int { return left + int((wall-from)*width/span) }
+
+	for i := range gridLines + 1 {
+		at := from + span*int64(i)/gridLines
+		d.Ticks = append(d.Ticks, tick{X: x(at), Label: fmt.Sprintf("+%.1f s", float64(at-from)/1000)})
+	}
+
+	y := map[spar.NodeID]int{}
+	for _, l := range lanes {
+		y[l.Node] = l.Y + laneHeight/2
+	}
+
+	for _, e := range events {
+		d.add(e, x(e.Stamp.Wall), y)
+	}
+
+	return d
+}
+
+// add draws one event: a mark in its node's lane, an arrow if a slot changed hands, a line across
+// all lanes if operators changed something.
+func (d *drawing) add(e spar.Event, x int, y map[spar.NodeID]int) {
+	at, color, text := clock(e.Stamp.Wall), colorOf(e.Kind), describe(e)
+	d.Marks = append(d.Marks, mark{X: x, Y: y[e.Node], Color: color, Kind: string(e.Kind), Title: at + " " + text})
+	d.Rows = append(d.Rows, row{Time: at, Node: string(e.Node), Kind: string(e.Kind), Text: text})
+
+	if e.Peer != "" && (e.Kind == spar.EventMoved || e.Kind == spar.EventTakeover) {
+		a := arrow{X1: x, Y1: y[e.Node], X2: x + 6, Y2: y[e.Peer], Color: color, Title: at + " " + text}
+		if e.Kind == spar.EventTakeover {
+			a.Y1, a.Y2 = a.Y2, a.Y1
+		}
+
+		d.Arrows = append(d.Arrows, a)
+	}
+
+	if e.Kind == spar.EventZone || e.Kind == spar.EventServer {
+		d.Bands = append(d.Bands, tick{X: x, Label: e.Detail})
+	}
+
+	for i := range d.Legend {
+		if d.Legend[i].Kind == string(e.Kind) {
+			d.Legend[i].Count++
+
+			return
+		}
+	}
+
+	d.Legend = append(d.Legend, legend{Kind: string(e.Kind), Color: color, Count: 1})
+}
+
+func lanesOf(events []spar.Event, zones map[spar.NodeID]spar.Zone) []lane {
+	known := map[spar.NodeID]bool{}
+
+	for id := range zones {
+		known[id] = true
+	}
+
+	for _, e := range events {
+		known[e.Node] = true
+
+		if e.Peer != "" {
+			known[e.Peer] = true
+		}
+	}
+
+	lanes := make([]lane, 0, len(known))
+	for id := range known {
+		lanes = append(lanes, lane{Node: id, Zone: zones[id]})
+	}
+
+	slices.SortFunc(lanes, func(a, b lane) int {
+		if a.Zone != b.Zone {
+			return strings.Compare(string(a.Zone), string(b.Zone))
+		}
+
+		return strings.Compare(string(a.Node), string(b.Node))
+	})
+
+	shades, next := map[spar.Zone]string{}, 0
+
+	for i := range lanes {
+		if _, ok := shades[lanes[i].Zone]; !ok {
+			shades[lanes[i].Zone] = zoneShades[next%len(zoneShades)]
+			next++
+		}
+
+		lanes[i].Y, lanes[i].Shade = top+laneHeight*i, shades[lanes[i].Zone]
+		lanes[i].Text = lanes[i].Y + laneHeight - 7
+	}
+
+	return lanes
+}
+
+var zoneShades = []string{"#eaf2fb", "#fdf3e4", "#eaf7ec", "#f6ecf8", "#f3f3f3"}
+
+// colorOf groups the kinds of events: blue for changes of owners, red for losses, green for starts
+// and returns, orange for load, violet for operators' changes.
+func colorOf(k spar.EventKind) string {
+	switch k {
+	case spar.EventAssigned, spar.EventMoveBegun, spar.EventMoved:
+		return "#1f6fb2"
+	case spar.EventTakeover, spar.EventLeaseLost, spar.EventSuspected, spar.EventFenced, spar.EventMoveFailed,
+		spar.EventStoreDown:
+		return "#c0392b"
+	case spar.EventStarted, spar.EventRegistered, spar.EventLeaseHeld, spar.EventReturned, spar.EventStoreUp:
+		return "#2e8b57"
+	case spar.EventShed, spar.EventLimit, spar.EventEjected, spar.EventQuarantined:
+		return "#d9822b"
+	case spar.EventPreset, spar.EventZone, spar.EventServer:
+		return "#8e44ad"
+	default:
+		return "#666666"
+	}
+}
+
+func describe(e spar.Event) string {
+	text := string(e.Node) + " " + string(e.Kind)
+
+	if e.Service != "" {
+		text += " " + e.Service
+	}
+
+	if e.Slot != nil {
+		text += fmt.Sprintf(" slot %d", *e.Slot)
+	}
+
+	if e.Epoch != 0 {
+		text += fmt.Sprintf(" epoch %d", e.Epoch)
+	}
+
+	if e.Peer != "" {
+		text += " peer " + string(e.Peer)
+	}
+
+	if e.Request != "" {
+		text += " request " + e.Request
+	}
+
+	if e.Detail != "" {
+		text += ": " + e.Detail
+	}
+
+	return text
+}
+
+func clock(ms int64) string {
+	return time.UnixMilli(ms).UTC().Format("2006-01-02T15:04:05.000Z")
+}
--- /dev/null
+++ b/cmd/sparctl/quarantine.go
@@ -0,0 +1,66 @@
+package main
+
+import (
+	"context"
+	"io"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"sardinespar.example/spar/admin"
+	"sardinespar.example/spar/change"
+)
+
+func (a *app) quarantineCommands(k *kingpin.Application) {
+	q := k.Command("quarantine", "Look at and lift the quarantine of requests that crash backend servers.")
+	a.on(q.Command("list", "List the requests in quarantine."), a.quarantines)
+
+	lift := q.Command("lift", "Let a request through again.")
+	fingerprint := lift.Arg("fingerprint", "Fingerprint from the list.").Required().String()
+	a.on(lift, func(ctx context.Context, c *client) error { return a.lift(ctx, c, *fingerprint) })
+}
+
+func (a *app) quarantines(ctx context.Context, c *client) error {
+	list, err := read[admin.QuarantinesResult](ctx, c, admin.MethodQuarantines, admin.Empty{})
+	if err != nil {
+		return err
+	}
+
+	return a.print(list, func(w io.Writer) {
+		printf(w, "FINGERPRINT\tSERVICE\tSEEN BY\tUNTIL\tSTATE\n")
+
+		for _, q := range list.Quarantines {
+			state := "over"
+
+			switch {
+			case q.Lifted:
+				state = "lifted by " + q.LiftedBy
+			case q.Active:
+				state = "in quarantine"
+			}
+
+			printf(w, "%s\t%s\t%s\t%s\t%s\n", q.Fingerprint, q.Service, q.By, clock(q.UntilMs), state)
+		}
+	})
+}
+
+func (a *app) lift(ctx context.Context, c *client, fingerprint string) error {
+	list, err := read[admin.QuarantinesResult](ctx, c, admin.MethodQuarantines, admin.Empty{})
+	if err != nil {
+		return err
+	}
+
+	params := admin.LiftParams{Fingerprint: fingerprint, By: a.by, Op: a.op}
+
+	for _, q := range list.Quarantines {
+		if q.Fingerprint == fingerprint {
+			params.Revision = q.Revision
+		}
+	}
+
+	result, err := send(ctx, c, a.op, admin.MethodLift, params, func(r change.Result) change.Result { return r })
+	if err != nil {
+		return err
+	}
+
+	return a.print(result, func(w io.Writer) { printf(w, "accepted: %s\n", result.Detail) })
+}
--- a/cmd/spard/main.go
+++ b/cmd/spard/main.go
@@ -30,18 +30,51 @@
 	exitSettings = 2
 )
 
+const about = `Runs beside one backend server and routes callers' requests to the backend servers that own
+their keys. Needs settings that name the VM, its zone and region, three listeners, and the table
+service:
+
+  spard --print-sample > spard.ini     write a file with every setting, then fill in the empty ones
+  spard --settings spard.ini --check-settings
+  spard --settings spard.ini
+
+The backend server then announces itself to the listener listen.local. SIGTERM or an interrupt makes
+spard give its slots away, finish the requests in flight, and exit. All else is done with sparctl.
+
+Exit statuses:
+  0  stopped after SIGTERM or an interrupt, or the settings are valid
+  1  failed: a listener can't be opened, or requests in flight did not end in time
+  2  wrong arguments or settings; every fault is named on standard error`
+
 const dialTimeout = 500 * time.Millisecond
 
 func main() {
-	app := kingpin.New("spard", "Routes callers' requests to the backend servers that own their keys.")
+	app := kingpin.New("spard", about)
 	app.Version(version)
 	app.HelpFlag.Short('h')
 
-	files := app.Flag("settings", "INI file with settings; later files go first.").Short('s').Strings()
-	overrides := app.Flag("set", "Setting as section.key=value; goes before the files.").Strings()
+	files := app.Flag("settings", "INI file with settings; given several times, a value in a later file "+
+		"replaces the one in an earlier file.").Short('s').Strings()
+	overrides := app.Flag("set", "Setting as section.key=value; replaces the one in the files.").Strings()
 	check := app.Flag("check-settings", "Check the settings, name every fault, and exit.").Bool()
+	reference := app.Flag("print-settings", "Print the reference of all settings as Markdown, and exit.").Bool()
+	sample := app.Flag("print-sample", "Print an INI file with every setting, and exit.").Bool()
+
+	if _, err := app.Parse(os.Args[1:]); err != nil {
+		fmt.Fprintf(os.Stderr, "spard: %v; see spard --help\n", err)
+		os.Exit(exitSettings)
+	}
+
+	switch {
+	case *reference:
+		fmt.Print(config.Reference())
+
+		return
+	case *sample:
+		fmt.Print(config.Sample())
 
-	kingpin.MustParse(app.Parse(os.Args[1:]))
+		return
+	}
 
 	cfg, faults := config.Load(*files, *overrides)
 	if len(faults) > 0 {
