Adapt the admission limit to measured latency

Cause: the fixed limit gives a cold server as much as a warm one, keeps running calls that end after their deadline, and serves in order of arrival, so that one hot key delays all others.

Change: admit.Adaptive. The guard measures the time to the head of the answer, so long downloads don't look slow. The queue is first in, first out per key, keys take turns; calls that can't end in time are shed on arrival or at their turn; a full queue sheds the newest call of the longest key. A refusal by the backend server itself now counts as not ok: as a fast answer it would have raised the limit.

spar.Load moved from admit to the root package, and spar.Answer carries it.

Mutants that TestPermits, TestLimitRange, TestQueueFair and TestRefusals were seen to catch: a permit lost when a call leaves at its grant, a place that stays queued, a limit exceeded by one, a limit above the capacity, keys that don't take turns, no eviction, no deadline check.

--- /dev/null
+++ b/admit/admit_test.go
@@ -0,0 +1,256 @@
+package admit_test
+
+import (
+	"context"
+	"flag"
+	"net/http"
+	"os"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	spar "sardinespar.example/spar"
+	"sardinespar.example/spar/admit"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "20261204")
+	_ = flag.Set("rapid.checks", "200")
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+type ring struct {
+	mu    sync.Mutex
+	kinds []spar.EventKind
+}
+
+func (r *ring) Record(e spar.Event) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	r.kinds = append(r.kinds, e.Kind)
+}
+
+func read(key string, deadline spar.Millis) spar.Call {
+	return spar.Call{
+		Service: spar.Service{Name: "s", Mode: spar.ModeKeyed}, Method: http.MethodGet, Key: key, Deadline: deadline,
+	}
+}
+
+// TestPermits guards against more calls in flight than the limit, and against permits and places that
+// are lost when a call is canceled or its deadline passes at the moment of the grant. Times are whole
+// milliseconds so that these coincide.
+func TestPermits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		clock := spar.RuntimeClock()
+
+		rapid.Check(struct{ rapid.TB }{t}, func(t *rapid.T) {
+			l := admit.NewAdaptive(clock, admit.Settings{Start: 2, Warmup: 1e9, Slow: 1e9, MaxQueue: 8}, &ring{})
+			l.Reset(spar.Capacity{Slots: 4, Conns: rapid.IntRange(1, 4).Draw(t, "conns")})
+
+			limit := l.Load().Limit
+			ms := rapid.IntRange(1, 6)
+
+			var (
+				wg             sync.WaitGroup
+				mu             sync.Mutex
+				inFlight, most int
+			)
+
+			count := func(n int) {
+				mu.Lock()
+				defer mu.Unlock()
+
+				inFlight += n
+				most = max(most, inFlight)
+			}
+
+			for range rapid.IntRange(1, 40).Draw(t, "calls") {
+				key := strconv.Itoa(rapid.IntRange(0, 3).Draw(t, "key"))
+				work := spar.Millis(ms.Draw(t, "work"))
+				c := read(key, clock.Now()+spar.Millis(ms.Draw(t, "deadline")))
+				cancelAt := time.Duration(ms.Draw(t, "cancel")) * time.Millisecond
+				ok := rapid.Bool().Draw(t, "ok")
+
+				wg.Go(func() {
+					ctx, cancel := context.WithTimeout(context.Background(), cancelAt)
+					defer cancel()
+
+					done, reason := l.Acquire(ctx, c)
+					if reason != spar.ReasonNone {
+						return
+					}
+
+					count(1)
+					clock.Sleep(context.Background(), work)
+					count(-1)
+					done(work, ok)
+				})
+				time.Sleep(time.Duration(rapid.IntRange(0, 2).Draw(t, "pause")) * time.Millisecond)
+			}
+
+			wg.Wait()
+
+			if most > limit {
+				t.Fatalf("%d in flight at a limit of %d", most, limit)
+			}
+
+			if load := l.Load(); load != (spar.Load{Limit: limit}) {
+				t.Fatalf("load after all calls: %+v", load)
+			}
+		})
+	})
+}
+
+// TestLimitRange guards against a limit above slots and connections, or of none, whatever the answers
+// say.
+func TestLimitRange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		clock := spar.RuntimeClock()
+
+		rapid.Check(struct{ rapid.TB }{t}, func(t *rapid.T) {
+			most := rapid.IntRange(1, 12).Draw(t, "most")
+			l := admit.NewAdaptive(clock, admit.Settings{Start: 2, Warmup: 50, Slow: 3, MaxQueue: 8}, &ring{})
+			l.Reset(spar.Capacity{Slots: 12, Conns: most})
+
+			for range rapid.IntRange(1, 300).Draw(t, "calls") {
+				done, _ := l.Acquire(context.Background(), read("k", clock.Now()+1000))
+				took := time.Duration(rapid.SampledFrom([]int{1, 1, 1, 10}).Draw(t, "took")) * time.Millisecond
+				time.Sleep(took)
+				done(spar.MillisOf(took), rapid.IntRange(0, 9).Draw(t, "ok") > 0)
+
+				if limit := l.Load().Limit; limit < 1 || limit > most {
+					t.Fatalf("limit %d of at most %d", limit, most)
+				}
+			}
+		})
+	})
+}
+
+// TestQueueFair guards against a key that waits while another has two turns, and against a wrong
+// estimate of a new item's place, by which calls are refused.
+func TestQueueFair(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := admit.NewQueue[int, int]()
+		since := map[int]map[int]int{}
+		items := map[int][]int{}
+
+		for i := range rapid.IntRange(1, 120).Draw(t, "steps") {
+			key := rapid.IntRange(0, 4).Draw(t, "key")
+
+			switch rapid.IntRange(0, 4).Draw(t, "step") {
+			case 0, 1, 2:
+				if len(items[key]) == 0 {
+					since[key] = map[int]int{}
+				}
+
+				q.Push(key, i)
+				items[key] = append(items[key], i)
+			case 3:
+				if n := len(items[key]); n > 0 {
+					gone := rapid.IntRange(0, n-1).Draw(t, "gone")
+					if !q.Remove(key, items[key][gone]) {
+						t.Fatalf("item of key %d is not there", key)
+					}
+
+					items[key] = append(append([]int(nil), items[key][:gone]...), items[key][gone+1:]...)
+				}
+			default:
+				item, ok := q.Pop()
+				if !ok {
+					continue
+				}
+
+				served := -1
+
+				for k, waiting := range items {
+					if len(waiting) > 0 && waiting[0] == item {
+						served = k
+					}
+				}
+
+				if served < 0 {
+					t.Fatalf("item %d is not the first of its key", item)
+				}
+
+				items[served] = items[served][1:]
+				since[served] = map[int]int{}
+
+				for k, waiting := range items {
+					if k == served || len(waiting) == 0 {
+						continue
+					}
+
+					since[k][served]++
+
+					if since[k][served] > 1 {
+						t.Fatalf("key %d had two turns while key %d waited", served, k)
+					}
+				}
+			}
+		}
+
+		key := rapid.IntRange(0, 5).Draw(t, "last")
+		ahead := q.Ahead(key)
+		q.Push(key, -1)
+
+		for n := 0; ; n++ {
+			if item, _ := q.Pop(); item == -1 {
+				if n != ahead {
+					t.Fatalf("%d items left before the new one, not %d", n, ahead)
+				}
+
+				return
+			}
+		}
+	})
+}
+
+// TestRefusals guards against untrue refusals and against a hot key that fills the queue.
+func TestRefusals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		clock := spar.RuntimeClock()
+		events := &ring{}
+		l := admit.NewAdaptive(clock, admit.Settings{Start: 1, Warmup: 1e9, Slow: 3, MaxQueue: 3}, events)
+		l.Reset(spar.Capacity{Slots: 1, Conns: 1})
+
+		serve := func(key string, deadline spar.Millis) spar.Reason {
+			done, reason := l.Acquire(context.Background(), read(key, clock.Now()+deadline))
+			if reason == spar.ReasonNone {
+				clock.Sleep(context.Background(), 100)
+				done(100, true)
+			}
+
+			return reason
+		}
+		c.Check(serve("a", 1000), qt.Equals, spar.ReasonNone)
+
+		var (
+			wg      sync.WaitGroup
+			reasons [7]spar.Reason
+		)
+
+		for i, call := range []struct {
+			key      string
+			deadline spar.Millis
+		}{{"hot", 1000}, {"hot", 1000}, {"hot", 1000}, {"hot", 1000}, {"hot", 1000}, {"b", 1000}, {"c", 150}} {
+			wg.Go(func() { reasons[i] = serve(call.key, call.deadline) })
+			time.Sleep(time.Millisecond)
+		}
+
+		wg.Wait()
+		c.Check(reasons, qt.Equals, [7]spar.Reason{
+			// The first runs, three wait; the last of them makes room for key b; c can't end in time.
+			"", "", "", spar.ReasonShed, spar.ReasonShed, "", spar.ReasonShed,
+		})
+		c.Check(events.kinds, qt.DeepEquals, []spar.EventKind{spar.EventLimit, spar.EventShed})
+	})
+}
--- a/admit/fixed.go
+++ b/admit/fixed.go
@@ -8,33 +8,13 @@
 	spar "sardinespar.example/spar"
 )
 
-// Load is what the limiter counts at one moment.
-type Load struct {
-	InFlight int `json:"in_flight"`
-	Limit    int `json:"limit"`
-	Queued   int `json:"queued"`
-}
-
-// Done gives a permit back. Took is the backend server's time for the call, ok whether it answered.
-type Done func(took spar.Millis, ok bool)
-
-// Limiter admits calls to one backend server.
-type Limiter interface {
-	// Acquire waits for a permit until the call's deadline. A refusal has a reason.
-	Acquire(ctx context.Context, c spar.Call) (Done, spar.Reason)
-	// Reset starts over for a backend server that has just started with this capacity.
-	Reset(c spar.Capacity)
-	// Load returns the current counts.
-	Load() Load
-}
-
 // Fixed admits as many calls at once as the backend server has slots. It is the baseline.
 type Fixed struct {
 	clock    spar.Clock
 	maxQueue int
 
 	mu     sync.Mutex
-	load   Load
+	load   spar.Load
 	queued []chan struct{}
 }
 
@@ -53,7 +33,7 @@
 }
 
 // Load returns the current counts.
-func (f *Fixed) Load() Load {
+func (f *Fixed) Load() spar.Load {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 
--- a/answer.go
+++ b/answer.go
@@ -13,6 +13,8 @@
 	Status   int
 	Detail   string
 	Owner    NodeID
+	// Load is the load at the node that answered, if it told one.
+	Load Load
 }
 
 // Completed returns the answer that carries a backend server's response. The receiver of the
@@ -42,6 +44,13 @@
 	return a
 }
 
+// WithLoad returns a with the load at the node that answered.
+func (a Answer) WithLoad(l Load) Answer {
+	a.Load = l
+
+	return a
+}
+
 // Close releases the response, if there is one.
 func (a Answer) Close() {
 	if a.Response != nil {
--- a/guard/run.go
+++ b/guard/run.go
@@ -18,10 +18,11 @@
 // closed.
 func (g *Guard) run(ctx context.Context, b Backend, c spar.Call, done admit.Done) spar.Answer {
 	began := g.clock.Now()
+	took := func() spar.Millis { return g.clock.Now() - began }
 	ctx, cancel := context.WithTimeout(ctx, (c.Deadline - began).Duration())
-	finish := func(ok bool) {
+	finish := func(took spar.Millis, ok bool) {
 		cancel()
-		done(g.clock.Now()-began, ok)
+		done(took, ok)
 	}
 
 	var sent atomic.Bool
@@ -32,26 +33,29 @@
 
 	resp, err := g.client.RoundTrip(g.request(ctx, b, c, began))
 	if err != nil {
-		finish(false)
+		finish(took(), false)
 
 		return failed(sent.Load(), err)
 	}
 
 	if resp.Header.Get(spar.HeaderRequest) != c.ID {
 		_ = resp.Body.Close()
-		finish(false)
+		finish(took(), false)
 
 		return spar.Uncertain(http.StatusBadGateway, spar.ReasonBroken, "backend server answered another request")
 	}
 
 	if spar.Outcome(resp.Header.Get(spar.HeaderOutcome)) == spar.OutcomeNotRun {
 		_ = resp.Body.Close()
-		finish(true)
+		finish(took(), false)
 
 		return spar.NotRun(resp.StatusCode, spar.ReasonShed, "backend server refused the call")
 	}
 
-	resp.Body = onClose(resp.Body, func() { finish(true) })
+	// The time to the head of the answer is the server's; the rest of a long download depends on
+	// its size and on the caller.
+	head := took()
+	resp.Body = onClose(resp.Body, func() { finish(head, true) })
 
 	return spar.Completed(resp, g.self())
 }
