Let waiting identical reads of a key share one run

Cause: at a hot key's owner, most of the queue is the same read.

Change: reads with the same method, URI, key and headers that wait for a permit share one run. A read joins only before the run starts, so that its answer is never older than the read. A caller that leaves takes nothing from the others; the last one cancels the run. A body above the bound stays with the first caller and the others run alone. The guard also tells its load with each answer.

Mutants that TestShare was seen to catch: joining a run that has begun, ignoring headers, a run that is not canceled when all have left, another caller's request identifier, the first caller's deadline for all.

--- a/guard/guard.go
+++ b/guard/guard.go
@@ -27,6 +27,7 @@
 	limiter admit.Limiter
 	client  http.RoundTripper
 	clock   spar.Clock
+	sharer  *sharer
 
 	backend atomic.Pointer[Backend]
 	closing atomic.Bool
@@ -38,7 +39,15 @@
 	self func() spar.NodeID, r *fleet.Replica, l spar.Lease, limiter admit.Limiter,
 	client http.RoundTripper, clock spar.Clock,
 ) *Guard {
-	return &Guard{self: self, replica: r, lease: l, limiter: limiter, client: client, clock: clock}
+	return &Guard{
+		self: self, replica: r, lease: l, limiter: limiter, client: client, clock: clock, sharer: newSharer(clock, 0),
+	}
+}
+
+// ShareReads lets queued identical reads of a key share one run whose body has at most maxBytes.
+// It is called before the first call is served; 0 shares nothing.
+func (g *Guard) ShareReads(maxBytes int) {
+	g.sharer = newSharer(g.clock, maxBytes)
 }
 
 // Attach sets the backend server, or takes it away if b is nil.
@@ -75,7 +84,7 @@
 		a.Response.Body = onClose(a.Response.Body, g.flight.Done)
 	}
 
-	return a.WithOwner(g.self())
+	return a.WithOwner(g.self()).WithLoad(g.limiter.Load())
 }
 
 func (g *Guard) serve(ctx context.Context, c spar.Call) spar.Answer {
@@ -88,7 +97,20 @@
 		return refusal
 	}
 
+	admitted := func(ctx context.Context, started func() bool) spar.Answer { return g.admit(ctx, *b, c, started) }
+	if load := g.limiter.Load(); load.InFlight < load.Limit || !g.sharer.fits(c) {
+		return admitted(ctx, alone)
+	}
+
+	return g.sharer.do(ctx, c, admitted)
+}
+
+// admit waits for a permit and runs the call; started is called when the wait is over.
+func (g *Guard) admit(ctx context.Context, b Backend, c spar.Call, started func() bool) spar.Answer {
 	done, reason := g.limiter.Acquire(ctx, c)
+
+	started()
+
 	if reason != spar.ReasonNone {
 		return shed(reason)
 	}
@@ -99,7 +121,7 @@
 		return refusal
 	}
 
-	return g.run(ctx, *b, c, done)
+	return g.run(ctx, b, c, done)
 }
 
 // check tells whether this node may run the call at this moment.
