Choose upstreams by own measurements, hedge and bound retries

Cause: round robin sends a share of all calls to slowed upstreams, and reports of backend servers show a slow spell late.

Idempotent calls where any upstream may serve get a second attempt after the 95 % quantile, within 5 % of the calls; the loser is canceled. Resends of shed, unreachable or broken attempts are within 10 % of the calls and only at the entry node; waiting for an owner is not counted, since nothing reaches a backend server by it.

--- a/route/forward.go
+++ b/route/forward.go
@@ -58,7 +58,9 @@
 
 	resp.Body = cancelOnClose{ReadCloser: resp.Body, cancel: cancel}
 
-	return received(resp, n)
+	load, _ := spar.ParseLoad(resp.Header.Get(spar.HeaderLoad))
+
+	return received(resp, n).WithLoad(load)
 }
 
 func lost(sent bool, n spar.Node, err error) spar.Answer {
--- a/route/handler.go
+++ b/route/handler.go
@@ -31,6 +31,7 @@
 	client  http.RoundTripper
 	picker  pick.Picker
 	clock   spar.Clock
+	policy  *Policy
 }
 
 // New returns the handler of one node.
@@ -64,25 +65,34 @@
 func (h *Handler) send(ctx context.Context, c spar.Call) (spar.Answer, int) {
 	patience := min(c.Deadline, h.clock.Now()+ownerWait)
 
-	var tried []spar.NodeID
+	var (
+		tried  []spar.NodeID
+		a      spar.Answer
+		broken int
+	)
+
+	if h.policy != nil {
+		h.policy.Retries.Earn()
+	}
 
 	for attempts := 1; ; attempts++ {
 		changed := h.replica.Changed()
 
-		n, a, ok := h.target(c, tried)
-		if ok {
-			a = h.attempt(ctx, n, c)
-			tried = append(tried, n.ID)
+		a, tried = h.dispatch(ctx, c, tried)
+		if a.Outcome == spar.OutcomeUnknown {
+			broken++
 		}
 
-		if a.Outcome != spar.OutcomeNotRun || !again(a) || h.clock.Now() >= patience {
-			return a, attempts
+		if h.clock.Now() >= patience || !h.resend(ctx, c, a, tried, broken) {
+			return doubted(a, broken), attempts
 		}
 
 		a.Close()
 
-		if !h.pause(ctx, changed) {
-			return spar.NotRun(http.StatusServiceUnavailable, spar.ReasonDeadline, "caller has gone"), attempts
+		if !h.atOnce(c, tried) && !h.pause(ctx, changed) {
+			a = spar.NotRun(http.StatusServiceUnavailable, spar.ReasonDeadline, "caller has gone")
+
+			return doubted(a, broken), attempts
 		}
 	}
 }
@@ -142,7 +152,11 @@
 		a = h.forward(ctx, n, c)
 	}
 
-	ended(h.clock.Now()-began, a.Outcome == spar.OutcomeCompleted)
+	ended(h.clock.Now()-began, pick.EndOf(ctx, a))
+
+	if a.Load.Limit > 0 {
+		h.picker.Report(n.ID, a.Load)
+	}
 
 	return a
 }
@@ -168,6 +182,10 @@
 	out.Set(spar.HeaderAttempts, strconv.Itoa(attempts))
 	out.Set(spar.HeaderOwner, string(a.Owner))
 
+	if a.Load.Limit > 0 {
+		out.Set(spar.HeaderLoad, a.Load.String())
+	}
+
 	if n, ok := h.replica.View().Node(a.Owner); ok {
 		out.Set(spar.HeaderOwnerURL, "http://"+n.Value.HTTPAddr)
 	}
--- /dev/null
+++ b/route/hedge.go
@@ -0,0 +1,159 @@
+package route
+
+import (
+	"context"
+	"crypto/rand"
+	"net/http"
+	"slices"
+	"sync"
+
+	spar "sardinespar.example/spar"
+	"sardinespar.example/spar/pick"
+)
+
+// Policy bounds what the entry node does beyond the first attempt at a call. Calls with the hop
+// header come from an entry node and are never sent again.
+type Policy struct {
+	// Retries is earned by callers' calls and spent by resends, except for those that wait for an
+	// owner: nothing reaches a backend server by them.
+	Retries *pick.Budget
+	// NewHedger makes the hedger of one service; nil means no hedging.
+	NewHedger func() *pick.Hedger
+
+	mu      sync.Mutex
+	hedgers map[string]*pick.Hedger
+}
+
+// Use sets the policy. It is called before the first call is served; without it calls are neither
+// hedged nor sent again after a shed or broken attempt.
+func (h *Handler) Use(p *Policy) {
+	h.policy = p
+}
+
+func (p *Policy) hedger(service string) *pick.Hedger {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	if p.hedgers == nil {
+		p.hedgers = map[string]*pick.Hedger{}
+	}
+
+	if _, ok := p.hedgers[service]; !ok {
+		p.hedgers[service] = p.NewHedger()
+	}
+
+	return p.hedgers[service]
+}
+
+// dispatch makes one attempt at the call, or two if it is hedged, and returns the nodes tried so far.
+func (h *Handler) dispatch(ctx context.Context, c spar.Call, tried []spar.NodeID) (spar.Answer, []spar.NodeID) {
+	n, none, ok := h.target(c, tried)
+	if !ok {
+		return none, tried
+	}
+
+	tried = append(tried, n.ID)
+
+	if h.policy == nil || h.policy.NewHedger == nil || !c.Idempotent || c.Service.Mode != spar.ModeAny ||
+		!h.untried(c, tried) {
+		return h.attempt(ctx, n, c), tried
+	}
+
+	r := hedged{handler: h, call: c, first: n, tried: tried}
+	a := h.policy.hedger(c.Service.Name).Do(ctx, r.attempt)
+
+	return a, r.nodes()
+}
+
+// hedged is a call that may be on two upstreams at once.
+type hedged struct {
+	handler *Handler
+	call    spar.Call
+	first   spar.Node
+
+	mu    sync.Mutex
+	begun bool
+	tried []spar.NodeID
+}
+
+func (r *hedged) attempt(ctx context.Context) spar.Answer {
+	n, c, ok := r.next()
+	if !ok {
+		return spar.NotRun(http.StatusServiceUnavailable, spar.ReasonNoOwner, "no second node serves %s", c.Service.Name)
+	}
+
+	return r.handler.attempt(ctx, n, c)
+}
+
+// next returns the node of an attempt. The second attempt has an identifier of its own.
+func (r *hedged) next() (spar.Node, spar.Call, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	if !r.begun {
+		r.begun = true
+
+		return r.first, r.call, true
+	}
+
+	n, _, ok := r.handler.target(r.call, r.tried)
+	if !ok || slices.Contains(r.tried, n.ID) {
+		return n, r.call, false
+	}
+
+	r.tried = append(r.tried, n.ID)
+	c := r.call
+	c.ID = rand.Text()
+
+	return n, c, true
+}
+
+func (r *hedged) nodes() []spar.NodeID {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	return slices.Clone(r.tried)
+}
+
+// untried reports whether a live upstream of the service is not among tried.
+func (h *Handler) untried(c spar.Call, tried []spar.NodeID) bool {
+	return slices.ContainsFunc(h.replica.View().NodesOf(c.Service.Name), func(n spar.Node) bool {
+		return n.State == spar.NodeLive && !slices.Contains(tried, n.ID)
+	})
+}
+
+// resend reports whether the entry node may send the call again after answer a; broken counts the
+// attempts that may have run.
+func (h *Handler) resend(ctx context.Context, c spar.Call, a spar.Answer, tried []spar.NodeID, broken int) bool {
+	switch {
+	case a.Outcome == spar.OutcomeCompleted || ctx.Err() != nil:
+		return false
+	case a.Outcome == spar.OutcomeUnknown:
+		// The call may have crashed its backend server: it gets at most one more.
+		return h.policy != nil && c.Idempotent && a.Reason == spar.ReasonBroken && broken <= 1 &&
+			h.policy.Retries.Spend()
+	case a.Reason == spar.ReasonNoOwner || c.Service.Mode == spar.ModeKeyed && again(a):
+		return true
+	case h.policy == nil:
+		return again(a)
+	case again(a) || a.Reason == spar.ReasonShed && h.atOnce(c, tried):
+		return h.policy.Retries.Spend()
+	default:
+		return false
+	}
+}
+
+// atOnce reports whether a resend has another upstream to go to, so that waiting gains nothing.
+func (h *Handler) atOnce(c spar.Call, tried []spar.NodeID) bool {
+	return c.Service.Mode == spar.ModeAny && h.untried(c, tried)
+}
+
+// doubted returns a refusal after an attempt that may have run: then it can't be said that no
+// backend server ran the call.
+func doubted(a spar.Answer, broken int) spar.Answer {
+	if a.Outcome == spar.OutcomeNotRun && broken > 0 {
+		a.Outcome = spar.OutcomeUnknown
+	}
+
+	return a
+}
