Wire adaptive admission, two choices, hedging and budgets into spard

Cause: the settings named these policies, but spard always ran the baselines.

Change: policy.admission, policy.picker and policy.hedging now select the policies, and eleven settings with checked ranges bound them. The baselines stay available.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -19,7 +19,6 @@
 	"sardinespar.example/spar/guard"
 	"sardinespar.example/spar/lease"
 	"sardinespar.example/spar/peers"
-	"sardinespar.example/spar/pick"
 	"sardinespar.example/spar/plan"
 	"sardinespar.example/spar/route"
 )
@@ -75,9 +74,11 @@
 	a.ring = event.NewRing(cfg.EventCount, deps.Wall)
 	a.pool = peers.NewPool(deps.Dial, a.traffic)
 	a.spread = fleet.NewSync(a.replica, deps.Table, a.pool, deps.Clock, a.ring)
-	a.limiter = admit.NewFixed(deps.Clock, cfg.MaxQueue)
+	a.limiter = newLimiter(cfg, deps.Clock, a.ring)
 	a.guard = guard.New(a.id, a.replica, a.lease, a.limiter, deps.HTTP, deps.Clock)
-	a.handler = route.New(a.id, a.replica, a.guard, deps.HTTP, pick.NewRobin(), deps.Clock)
+	a.guard.ShareReads(cfg.ShareBytes)
+	a.handler = route.New(a.id, a.replica, a.guard, deps.HTTP, newPicker(cfg, deps.Clock, a.ring), deps.Clock)
+	a.handler.Use(newPolicy(cfg, deps.Clock))
 
 	return a
 }
--- /dev/null
+++ b/agent/load.go
@@ -0,0 +1,49 @@
+package agent
+
+import (
+	crand "crypto/rand"
+	"math/rand/v2"
+
+	spar "sardinespar.example/spar"
+	"sardinespar.example/spar/admit"
+	"sardinespar.example/spar/config"
+	"sardinespar.example/spar/pick"
+	"sardinespar.example/spar/route"
+)
+
+func newLimiter(cfg config.Settings, clock spar.Clock, events spar.Recorder) admit.Limiter {
+	if cfg.Admission == config.AdmissionFixed {
+		return admit.NewFixed(clock, cfg.MaxQueue)
+	}
+
+	return admit.NewAdaptive(clock, admit.Settings{
+		Start: cfg.AdmissionStart, Warmup: cfg.AdmissionWarmup, Slow: cfg.AdmissionSlow, MaxQueue: cfg.MaxQueue,
+	}, events)
+}
+
+func newPicker(cfg config.Settings, clock spar.Clock, events spar.Recorder) pick.Picker {
+	if cfg.Picker == config.PickerRoundRobin {
+		return pick.NewRobin()
+	}
+
+	var seed [32]byte
+
+	_, _ = crand.Read(seed[:])
+
+	return pick.NewChoices(clock, pick.Settings{
+		EjectRatio: cfg.EjectRatio, EjectShare: cfg.EjectShare,
+		EjectPause: cfg.EjectPause, EjectPauseMost: max(cfg.EjectPause, cfg.EjectPauseMost),
+	}, events, rand.NewChaCha8(seed))
+}
+
+func newPolicy(cfg config.Settings, clock spar.Clock) *route.Policy {
+	p := &route.Policy{Retries: pick.NewBudget(cfg.RetryBudget)}
+
+	if cfg.Hedging {
+		p.NewHedger = func() *pick.Hedger {
+			return pick.NewHedger(clock, cfg.HedgeQuantile, pick.NewBudget(cfg.HedgeBudget))
+		}
+	}
+
+	return p
+}
--- a/config/keys.go
+++ b/config/keys.go
@@ -37,7 +37,7 @@
 
 // Keys returns all settings in the order of the reference.
 func Keys() []Key {
-	return slices.Concat(nodeKeys(), storeKeys(), policyKeys(), logKeys())
+	return slices.Concat(nodeKeys(), storeKeys(), policyKeys(), loadKeys(), logKeys())
 }
 
 func nodeKeys() []Key {
@@ -157,6 +157,11 @@
 	}
 }
 
+// percent describes a setting given in whole percent and kept as a ratio.
+func percent(key string, def, least, most int, help string, set func(*Settings, float64)) Key {
+	return integer("policy", key+"_percent", def, least, most, help, func(s *Settings, n int) { set(s, float64(n)/100) })
+}
+
 func millis(section, key string, def, least, most int, help string, set func(*Settings, spar.Millis)) Key {
 	return integer(section, key, def, least, most, help, func(s *Settings, n int) { set(s, spar.Millis(n)) })
 }
--- a/config/settings.go
+++ b/config/settings.go
@@ -25,6 +25,24 @@
 	Resume    bool
 	MaxQueue  int
 
+	// AdmissionStart is the limit after a start and after a slow turn.
+	AdmissionStart int
+	// AdmissionWarmup is the least time from there to the full capacity after a start.
+	AdmissionWarmup spar.Millis
+	// AdmissionSlow is the multiple of the recent best latency that means a cold or slow server.
+	AdmissionSlow float64
+	// ShareBytes bounds the body of a read that waiting identical reads share; 0 shares nothing.
+	ShareBytes int
+
+	EjectRatio     float64
+	EjectShare     float64
+	EjectPause     spar.Millis
+	EjectPauseMost spar.Millis
+
+	HedgeQuantile float64
+	HedgeBudget   float64
+	RetryBudget   float64
+
 	EventCount int
 	LogLevel   string
 	LogFormat  string
