--- a/agent/agent.go
+++ b/agent/agent.go
@@ -19,7 +19,6 @@
 	"sardinespar.example/spar/guard"
 	"sardinespar.example/spar/lease"
 	"sardinespar.example/spar/peers"
-	"sardinespar.example/spar/pick"
 	"sardinespar.example/spar/plan"
 	"sardinespar.example/spar/route"
 )
@@ -77,9 +76,12 @@
 	deps = a.metered(deps)
 	a.pool = peers.NewPool(deps.Dial, a.traffic).Stamped(a.ring)
 	a.spread = fleet.NewSync(a.replica, deps.Table, a.pool, deps.Clock, a.ring)
-	a.limiter = admit.NewFixed(deps.Clock, cfg.MaxQueue)
+	a.limiter = newLimiter(cfg, deps.Clock, a.ring)
 	a.guard = guard.New(a.id, a.replica, a.lease, a.limiter, deps.HTTP, deps.Clock)
-	a.handler = route.New(a.id, a.replica, a.guard, a.ops.sender(deps.HTTP), pick.NewRobin(), deps.Clock)
+	a.guard.ShareReads(cfg.ShareBytes)
+	picker := newPicker(cfg, deps.Clock, a.ring)
+	a.handler = route.New(a.id, a.replica, a.guard, a.ops.sender(deps.HTTP), picker, deps.Clock)
+	a.handler.Use(newPolicy(cfg, deps.Clock))
 	a.ops.serve(a)
 
 	return a
