--- a/preset/parse.go
+++ b/preset/parse.go
@@ -33,7 +33,7 @@
 // Parse reads a preset file and returns the preset, without name and version, and every fault.
 func Parse(data []byte) (Preset, []Fault) {
 	if len(data) > MaxFileBytes {
-		return Preset{}, []Fault{{Accepted: fmt.Sprintf("file has more than %d bytes", MaxFileBytes)}}
+		return Preset{}, []Fault{{Line: 1, Accepted: fmt.Sprintf("file has more than %d bytes", MaxFileBytes)}}
 	}
 
 	at := locate(data)
@@ -43,7 +43,7 @@
 		PreserveSurroundedQuote: true, IgnoreInlineComment: true,
 	}, data)
 	if err != nil {
-		return Preset{}, []Fault{{Line: at.broken, Accepted: "not an INI file: " + err.Error()}}
+		return Preset{}, []Fault{{Line: max(1, at.broken), Accepted: "not an INI file: " + err.Error()}}
 	}
 
 	c := &checker{at: at, services: map[string]string{}}
@@ -70,6 +70,7 @@
 }
 
 func (c *checker) fault(f Fault) {
+	f.Line = max(1, f.Line)
 	c.faults = append(c.faults, f)
 }
 
