--- a/fleet/replica.go
+++ b/fleet/replica.go
@@ -35,12 +35,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 
-	before := r.view.Load()
-	next, changed := before.with(rows, complete)
+	next, changed := r.view.Load().with(rows, complete)
 	r.view.Store(next)
 
-	// The first completeness counts as a change: some readers wait for it.
-	if changed || (before.complete == 0 && complete > 0) {
+	if changed {
 		close(r.changed)
 		r.changed = make(chan struct{})
 	}
--- a/peers/stamp.go
+++ b/peers/stamp.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"io"
+	"log"
 
 	"github.com/sourcegraph/jsonrpc2"
 
@@ -30,14 +32,18 @@
 	return s
 }
 
-// stamped returns the options by which every message of a connection carries a stamp in its meta
+// stamped returns the options of a connection, by which every message of a connection carries a stamp in its meta
 // field, as [wall milliseconds, counter] to save bytes.
 func stamped(s Stamper) []jsonrpc2.ConnOpt {
+	// The library writes a line to standard error for each connection that ends during a call; the
+	// caller gets that error anyway.
+	quiet := jsonrpc2.SetLogger(log.New(io.Discard, "", 0))
 	if s == nil {
-		return nil
+		return []jsonrpc2.ConnOpt{quiet}
 	}
 
 	return []jsonrpc2.ConnOpt{
+		quiet,
 		jsonrpc2.OnSend(func(req *jsonrpc2.Request, resp *jsonrpc2.Response) {
 			switch meta := encodeStamp(s.Now()); {
 			case req != nil:
