--- /dev/null
+++ b/admin/status_test.go
@@ -0,0 +1,169 @@
+package admin_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	spar "sardinespar.example/spar"
+	"sardinespar.example/spar/admin"
+	"sardinespar.example/spar/change"
+	"sardinespar.example/spar/event"
+	"sardinespar.example/spar/fleet"
+	"sardinespar.example/spar/preset"
+)
+
+const dayFile = "[department d]\nservice = desk\nobjective = churn_slots_per_hour\ntarget = 1\n"
+
+// TestStatusNamesNodes guards against a status that hides a node that lags, is not reached, or is
+// lost, and against an owner that is not the table's.
+func TestStatusNamesNodes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld()
+		w.start(4, "a", "b")
+		w.serve(8)
+
+		defer w.close()
+
+		made, err := ask[admin.PresetCreateResult](w, 0, admin.MethodPresetCreate,
+			admin.PresetCreateParams{Name: "day", Text: dayFile, By: "ann", Op: "1"})
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, made.Preset.ID(), qt.Equals, "day/1")
+
+		// VM 3 reaches nothing but the operators' node; VM 2 is lost.
+		for _, to := range []int{tableIndex, 0, 1, 2} {
+			w.setCut(3, to, true)
+		}
+
+		w.vms[2].halt()
+
+		forced, err := ask[change.Result](w, 0, admin.MethodPresetForce,
+			preset.Change{Name: "day", Version: 1, By: "ann", Op: "2"})
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, forced.Verdict, qt.Equals, change.Accepted)
+		time.Sleep(2 * time.Second)
+
+		st, err := ask[admin.Status](w, 0, admin.MethodStatus, admin.Empty{})
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, st.InForce.Generation, qt.Equals, int64(1))
+		qt.Assert(t, st.Lost, qt.DeepEquals, []spar.NodeID{"vm2.1"})
+		qt.Assert(t, st.Nodes, qt.HasLen, 3)
+		qt.Assert(t, st.Nodes[2].Reached, qt.IsFalse)
+		qt.Assert(t, st.Nodes[0].Owned, qt.Equals, 2)
+
+		// VM 3 answers again before it learns of the preset.
+		w.setCut(0, 3, false)
+
+		force, err := ask[admin.ForceStatus](w, 0, admin.MethodForceStatus, admin.Empty{})
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, force.Lagging, qt.DeepEquals, []spar.NodeID{"vm3.1"})
+
+		e, err := ask[admin.ExplainResult](w, 0, admin.MethodExplain, admin.ExplainParams{Key: "k"})
+		qt.Assert(t, err, qt.IsNil)
+
+		owner := w.vms[int(e.Explanations[0].Slot)%4].id()
+		qt.Assert(t, e.Explanations[0].Assignment, qt.Equals, spar.Assignment{Owner: owner, Epoch: 3, Base: 2})
+		w.vms[2].boot([]spar.Zone{"a", "b"})
+	})
+}
+
+// TestRollback guards against a rollback to the preset that is in force already.
+func TestRollback(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld()
+		w.start(2)
+		time.Sleep(time.Second)
+
+		defer w.close()
+
+		for _, name := range []string{"day", "peak"} {
+			_, err := ask[admin.PresetCreateResult](w, 0, admin.MethodPresetCreate,
+				admin.PresetCreateParams{Name: name, Text: dayFile, By: "ann", Op: name})
+			qt.Assert(t, err, qt.IsNil)
+		}
+
+		for i, name := range []string{"day", "peak", "peak"} {
+			r, err := ask[change.Result](w, i%2, admin.MethodPresetForce,
+				preset.Change{Name: name, Version: 1, Seen: int64(i), By: "ann", Op: name + string(rune('0'+i))})
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, r.Generation, qt.Equals, int64(i+1))
+		}
+
+		for range 2 {
+			r, err := ask[change.Result](w, 1, admin.MethodPresetRollback, admin.RollbackParams{Seen: 3, By: "ann", Op: "back"})
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, r.Verdict, qt.Equals, change.Accepted)
+			qt.Assert(t, r.Generation, qt.Equals, int64(4))
+		}
+
+		f, _ := w.generation(4)
+		qt.Assert(t, f.ID(), qt.Equals, "day/1")
+		qt.Assert(t, w.last(), qt.Equals, int64(4))
+	})
+}
+
+// TestTimelineAcrossNodes guards against events of other nodes that are left out or come in the
+// wrong order.
+func TestTimelineAcrossNodes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld()
+		w.start(3)
+		time.Sleep(time.Second)
+
+		defer w.close()
+
+		slot := spar.Slot(1)
+		w.vms[0].ring.Record(spar.Event{Kind: spar.EventMoveBegun, Service: "desk", Slot: &slot, Peer: "vm1.1"})
+		w.vms[0].spread.Push(context.Background(), w.vms[0].id(), nil)
+		w.vms[1].ring.Record(spar.Event{Kind: spar.EventMoved, Service: "desk", Slot: &slot})
+
+		r, err := ask[admin.EventsResult](w, 2, admin.MethodEvents,
+			admin.EventsParams{Filter: event.Filter{Service: "desk", Slot: &slot}})
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, r.Missing, qt.HasLen, 0)
+		qt.Assert(t, r.Events, qt.HasLen, 2)
+		qt.Assert(t, r.Events[0].Kind, qt.Equals, spar.EventMoveBegun)
+
+		st, err := ask[admin.Status](w, 2, admin.MethodStatus, admin.Empty{})
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, st.Nodes[0].Report.Moving, qt.HasLen, 1)
+	})
+}
+
+// TestQuarantineLift guards against a lift that also lifts a later quarantine of the same request.
+func TestQuarantineLift(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld()
+		w.start(2)
+		time.Sleep(time.Second)
+
+		defer w.close()
+
+		write := func() spar.Revision {
+			return w.apply(context.Background(), spar.Txn{Writes: []spar.Write{{
+				Key:   fleet.PrefixQuarantine + "f",
+				Value: fleet.Encode(spar.Quarantine{Fingerprint: "f", UntilMs: time.Now().UnixMilli() + 60_000}),
+			}}}).Revision
+		}
+		first := write()
+		w.fault(false, 1, 0)
+
+		lift := admin.LiftParams{Fingerprint: "f", Revision: first, By: "ann", Op: "lift"}
+		r, err := ask[change.Result](w, 0, admin.MethodLift, lift)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, r.Verdict, qt.Equals, change.Accepted)
+
+		write()
+
+		r, err = ask[change.Result](w, 1, admin.MethodLift, lift)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, r.Verdict, qt.Equals, change.Unknown)
+
+		list, err := ask[admin.QuarantinesResult](w, 1, admin.MethodQuarantines, admin.Empty{})
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, list.Quarantines[0].Active, qt.IsTrue)
+	})
+}
--- a/admin/world_test.go
+++ b/admin/world_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	spar "sardinespar.example/spar"
+	"sardinespar.example/spar/admin"
 	"sardinespar.example/spar/fleet"
 	"sardinespar.example/spar/preset"
 	"sardinespar.example/spar/table"
@@ -31,6 +32,7 @@
 	cut      map[[2]int]bool
 	conns    map[[2]int][]net.Conn
 	register []preset.Force
+	zoneA    []admin.WithdrawalRow
 	problems []string
 }
 
@@ -89,6 +91,13 @@
 	}
 
 	for _, write := range txn.Writes {
+		if write.Key == fleet.ZoneKey("a") {
+			var row admin.WithdrawalRow
+			if json.Unmarshal(write.Value, &row) == nil {
+				w.zoneA = append(w.zoneA, row)
+			}
+		}
+
 		if write.Key != fleet.PrefixForce {
 			continue
 		}
--- a/peers/stamp_test.go
+++ b/peers/stamp_test.go
@@ -71,7 +71,7 @@
 			qt.Assert(t, pool.Call(ctx, "x", "test.echo", 1, &n), qt.IsNil)
 			caller.Record(spar.Event{Detail: "after"})
 
-			var order []string
+			order := make([]string, 0, 3)
 			for _, e := range event.Merge(caller.Events(), callee.Events()) {
 				order = append(order, e.Detail)
 			}
