--- a/cmd/sparctl/main.go
+++ b/cmd/sparctl/main.go
@@ -9,16 +9,15 @@
 	"os/signal"
 	"syscall"
 	"time"
-)
 
-const (
-	version     = "0.1.0"
-	dialTimeout = time.Second
+	"sardinespar.example/spar/cmd/sparctl/shell"
 )
 
+const dialTimeout = time.Second
+
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	status := run(ctx, os.Args[1:], os.Stdout, os.Stderr, dial)
+	status := shell.Run(ctx, os.Args[1:], os.Stdout, os.Stderr, dial)
 
 	stop()
 	os.Exit(status)
--- a/cmd/sparctl/app.go
+++ b/cmd/sparctl/shell/app.go
@@ -1,4 +1,5 @@
-package main
+// Package shell is the command line of sparctl.
+package shell
 
 import (
 	"context"
@@ -16,6 +17,8 @@
 	"sardinespar.example/spar/peers"
 )
 
+const version = "0.1.0"
+
 // app is one run of sparctl.
 type app struct {
 	out  io.Writer
@@ -57,8 +60,8 @@
 
 ` + exitHelp
 
-// run runs one command and returns the exit status.
-func run(ctx context.Context, args []string, out, errs io.Writer, dial peers.Dialer) int {
+// Run runs one command and returns the exit status.
+func Run(ctx context.Context, args []string, out, errs io.Writer, dial peers.Dialer) int {
 	a := &app{out: out, errs: errs, dial: dial, commands: map[string]command{}}
 	k := kingpin.New("sparctl", about)
 	exited := -1
@@ -92,7 +95,7 @@
 	if err != nil {
 		_, _ = fmt.Fprintf(errs, "sparctl: %v; see sparctl --help\n", err)
 
-		return exitUsage
+		return ExitUsage
 	}
 
 	if err := a.do(ctx, a.commands[name]); err != nil {
@@ -101,12 +104,12 @@
 		return statusOf(err)
 	}
 
-	return exitOK
+	return ExitOK
 }
 
 func (a *app) do(ctx context.Context, cmd command) error {
 	if cmd.asksNodes && len(a.nodes) == 0 {
-		return fail(exitUsage, "no node: give --node IP:PORT or set SPAR_NODES")
+		return fail(ExitUsage, "no node: give --node IP:PORT or set SPAR_NODES")
 	}
 
 	ctx, cancel := context.WithTimeout(ctx, a.timeout)
@@ -125,7 +128,7 @@
 		text(w)
 
 		if err := w.Flush(); err != nil {
-			return fail(exitFailed, "write output: %v", err)
+			return fail(ExitFailed, "write output: %v", err)
 		}
 
 		return nil
@@ -137,7 +140,7 @@
 	}
 
 	if _, err := fmt.Fprintf(a.out, "%s\n", data); err != nil {
-		return fail(exitFailed, "write output: %v", err)
+		return fail(ExitFailed, "write output: %v", err)
 	}
 
 	return nil
--- a/cmd/sparctl/client.go
+++ b/cmd/sparctl/shell/client.go
@@ -1,4 +1,4 @@
-package main
+package shell
 
 import (
 	"context"
@@ -17,6 +17,9 @@
 	// callTimeout is above the time that a spard works on a change before it answers "unknown".
 	callTimeout = 6 * time.Second
 	resendPause = 200 * time.Millisecond
+	// decideTime is how long a spard may take to answer a change. No change is sent again with less
+	// time left: cut short, it would leave a doubt that was not there before.
+	decideTime = 5 * time.Second
 )
 
 // client asks the nodes in turn.
@@ -69,7 +72,7 @@
 
 		var remote *jsonrpc2.Error
 		if errors.As(err, &remote) {
-			return result, fail(exitFailed, "%s", remote.Message)
+			return result, fail(ExitFailed, "%s", remote.Message)
 		}
 
 		failed = errors.Join(failed, err)
@@ -77,7 +80,7 @@
 
 	var none R
 
-	return none, fail(exitFailed, "no node answers:\n%v", failed)
+	return none, fail(ExitFailed, "no node answers:\n%v", failed)
 }
 
 // send sends a change to the nodes in turn until its result is known or ctx ends. The operation id
@@ -114,21 +117,35 @@
 
 			doubtful = doubtful || r.Verdict == change.Unknown
 		case errors.As(err, &remote):
-			return last, fail(exitUsage, "refused: %s", remote.Message)
+			return last, fail(ExitUsage, "refused: %s", remote.Message)
 		case errors.As(err, &dialed):
 			reason = err.Error()
 		default:
 			doubtful, reason = true, err.Error()
 		}
 
-		select {
-		case <-ctx.Done():
+		if !pause(ctx, resendPause) || !enough(ctx) {
 			return last, resultError(undecided(op, doubtful, reason))
-		case <-time.After(resendPause):
 		}
 	}
 }
 
+// pause waits and reports false if ctx ended first.
+func pause(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+func enough(ctx context.Context) bool {
+	deadline, ok := ctx.Deadline()
+
+	return !ok || time.Until(deadline) >= decideTime
+}
+
 func decided(r change.Result) bool {
 	return r.Verdict == change.Accepted || r.Verdict == change.Conflict || r.Verdict == change.Refused
 }
--- a/cmd/sparctl/exit.go
+++ b/cmd/sparctl/shell/exit.go
@@ -1,4 +1,4 @@
-package main
+package shell
 
 import (
 	"errors"
@@ -9,13 +9,13 @@
 
 // The exit statuses.
 const (
-	exitOK          = 0
-	exitFailed      = 1
-	exitUsage       = 2
-	exitConflict    = 3
-	exitUnknown     = 4
-	exitLagging     = 5
-	exitUnavailable = 6
+	ExitOK          = 0
+	ExitFailed      = 1
+	ExitUsage       = 2
+	ExitConflict    = 3
+	ExitUnknown     = 4
+	ExitLagging     = 5
+	ExitUnavailable = 6
 )
 
 const exitHelp = `Exit statuses:
@@ -49,7 +49,7 @@
 		return s.status
 	}
 
-	return exitFailed
+	return ExitFailed
 }
 
 // resultError returns the error of a change that was not accepted.
@@ -58,18 +58,18 @@
 	case change.Accepted:
 		return nil
 	case change.Conflict:
-		return fail(exitConflict, "conflict: %s; look again before you change it", r.Detail)
+		return fail(ExitConflict, "conflict: %s; look again before you change it", r.Detail)
 	case change.Refused:
 		text := "refused: " + r.Detail
 		for _, f := range r.Faults {
 			text += "\n  " + f
 		}
 
-		return fail(exitUsage, "%s", text)
+		return fail(ExitUsage, "%s", text)
 	case change.Unavailable:
-		return fail(exitUnavailable, "not accepted: %s", r.Detail)
+		return fail(ExitUnavailable, "not accepted: %s", r.Detail)
 	default:
-		return fail(exitUnknown, "result is not known: %s\nrun the same command again with --op %s to learn it",
+		return fail(ExitUnknown, "result is not known: %s\nrun the same command again with --op %s to learn it",
 			r.Detail, r.Op)
 	}
 }
--- a/cmd/sparctl/presets.go
+++ b/cmd/sparctl/shell/presets.go
@@ -1,4 +1,4 @@
-package main
+package shell
 
 import (
 	"context"
@@ -21,9 +21,9 @@
 	shown := show.Arg("preset", "NAME/VERSION, or NAME for its newest version; without it, the one in force.").String()
 	a.on(show, func(ctx context.Context, c *client) error { return a.presetShow(ctx, c, *shown) })
 
-	diff := p.Command("diff", "Print the lines in which two presets differ.")
-	before := diff.Arg("before", "NAME or NAME/VERSION.").Required().String()
-	after := diff.Arg("after", "NAME or NAME/VERSION; without it, the preset in force.").String()
+	diff := p.Command("diff", "Print what would change if a preset came into force.")
+	after := diff.Arg("preset", "NAME or NAME/VERSION.").Required().String()
+	before := diff.Arg("base", "Preset to compare with, as NAME or NAME/VERSION; without it, the one in force.").String()
 	a.on(diff, func(ctx context.Context, c *client) error {
 		return a.presetDiff(ctx, c, admin.PresetDiffParams{Before: *before, After: *after})
 	})
@@ -144,7 +144,7 @@
 func (a *app) presetCheck(file string) error {
 	data, err := os.ReadFile(file)
 	if err != nil {
-		return fail(exitUsage, "%v", err)
+		return fail(ExitUsage, "%v", err)
 	}
 
 	_, faults := preset.Parse(data)
@@ -162,13 +162,13 @@
 		return err
 	}
 
-	return fail(exitUsage, "%s has %d faults", file, len(faults))
+	return fail(ExitUsage, "%s has %d faults", file, len(faults))
 }
 
 func (a *app) presetCreate(ctx context.Context, c *client, name, file string) error {
 	data, err := os.ReadFile(file)
 	if err != nil {
-		return fail(exitUsage, "%v", err)
+		return fail(ExitUsage, "%v", err)
 	}
 
 	params := admin.PresetCreateParams{Name: name, Text: string(data), By: a.by, Op: a.op}
@@ -189,7 +189,7 @@
 
 	name, version, err := preset.SplitID(id)
 	if err != nil {
-		return fail(exitUsage, "%v", err)
+		return fail(ExitUsage, "%v", err)
 	}
 
 	// The newest version is looked up once, so that every sending asks for the same one.
@@ -229,10 +229,10 @@
 	}
 
 	if list.InForce == nil {
-		return fail(exitUsage, "nothing is in force yet: give --seen 0")
+		return fail(ExitUsage, "nothing is in force yet: give --seen 0")
 	}
 
-	return fail(exitUsage, "in force is %s as generation %d by %s; if that is what you want to replace, give --seen %d",
+	return fail(ExitUsage, "in force is %s as generation %d by %s; if that is what you want to replace, give --seen %d",
 		list.InForce.ID(), list.InForce.Generation, list.InForce.By, list.InForce.Generation)
 }
 
--- a/cmd/sparctl/settings.go
+++ b/cmd/sparctl/shell/settings.go
@@ -1,4 +1,4 @@
-package main
+package shell
 
 import (
 	"io"
--- a/cmd/sparctl/status.go
+++ b/cmd/sparctl/shell/status.go
@@ -1,4 +1,4 @@
-package main
+package shell
 
 import (
 	"cmp"
@@ -252,30 +252,41 @@
 }
 
 func (a *app) wait(ctx context.Context, c *client, generation int64) error {
+	var (
+		lagging []string
+		asked   bool
+		failed  error
+	)
+
 	for {
 		st, err := read[admin.ForceStatus](ctx, c, admin.MethodForceStatus, admin.Empty{})
 
 		switch {
-		case err != nil && ctx.Err() == nil:
-			return err
-		case err == nil && generation == 0 && st.InForce != nil:
-			generation = st.InForce.Generation
-		case err == nil && generation == 0:
-			return fail(exitFailed, "no preset is in force")
-		}
+		case err != nil:
+			failed = err
+		case generation == 0 && st.InForce == nil:
+			return fail(ExitFailed, "no preset is in force")
+		default:
+			asked = true
+
+			if generation == 0 {
+				generation = st.InForce.Generation
+			}
 
-		lagging := behind(st, generation)
-		if err == nil && len(st.Nodes) > 0 && len(lagging) == 0 {
-			return a.print(st, func(w io.Writer) {
-				printf(w, "generation %d is in force on all %d nodes\n", generation, len(st.Nodes))
-			})
+			if lagging = behind(st, generation); len(lagging) == 0 && len(st.Nodes) > 0 {
+				return a.print(st, func(w io.Writer) {
+					printf(w, "generation %d is in force on all %d nodes\n", generation, len(st.Nodes))
+				})
+			}
 		}
 
-		select {
-		case <-ctx.Done():
-			return fail(exitLagging, "generation %d is not in force on %d of %d nodes: %s",
-				generation, len(lagging), len(st.Nodes), strings.Join(lagging, ", "))
-		case <-time.After(pollPause):
+		if !pause(ctx, pollPause) {
+			if !asked {
+				return failed
+			}
+
+			return fail(ExitLagging, "generation %d is not in force on %d nodes: %s",
+				generation, len(lagging), strings.Join(lagging, ", "))
 		}
 	}
 }
--- a/cmd/sparctl/timeline.go
+++ b/cmd/sparctl/shell/timeline.go
@@ -1,4 +1,4 @@
-package main
+package shell
 
 import (
 	"context"
@@ -46,7 +46,7 @@
 	p := t.params
 
 	if (p.Key != "" || t.slot >= 0) && p.Filter.Service == "" {
-		return p, fail(exitUsage, "--key and --slot need --service")
+		return p, fail(ExitUsage, "--key and --slot need --service")
 	}
 
 	if t.slot >= 0 {
@@ -78,7 +78,7 @@
 
 	at, err := time.Parse(time.RFC3339, text)
 	if err != nil {
-		return 0, fail(exitUsage, "time %q: accepted: RFC 3339 or a duration ago, as in 5m", text)
+		return 0, fail(ExitUsage, "time %q: accepted: RFC 3339 or a duration ago, as in 5m", text)
 	}
 
 	return at.UnixMilli(), nil
@@ -123,7 +123,7 @@
 
 	f, err := os.Create(file) //nolint:gosec // the operator names the file
 	if err != nil {
-		return fail(exitFailed, "%v", err)
+		return fail(ExitFailed, "%v", err)
 	}
 
 	err = page.Write(f, result.Events, result.Missing, zones)
@@ -132,7 +132,7 @@
 	}
 
 	if err != nil {
-		return fail(exitFailed, "write %s: %v", file, err)
+		return fail(ExitFailed, "write %s: %v", file, err)
 	}
 
 	return nil
