--- /dev/null
+++ b/meter/events.go
@@ -0,0 +1,98 @@
+package meter
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	spar "sardinespar.example/spar"
+)
+
+// Kind describes one kind of event and what to do when it looks wrong.
+type Kind struct {
+	Kind   spar.EventKind
+	Help   string
+	Action string
+}
+
+// Kinds returns all kinds of events in the order of the reference.
+func Kinds() []Kind {
+	return slices.Concat(memberKinds(), ownerKinds(), operatorKinds(), loadKinds())
+}
+
+func memberKinds() []Kind {
+	return []Kind{
+		{spar.EventStarted, "the process began to serve", "often on one VM: look at its log for the cause of restarts"},
+		{
+			spar.EventRegistered, "the node's row was committed under a new id",
+			"missing after started: the backend server does not announce itself, or the table does not answer",
+		},
+		{
+			spar.EventAnnounced, "the backend server announced itself",
+			"missing: check that it knows the listener listen.local",
+		},
+		{spar.EventLeaving, "the node gives its slots away and takes no new work", "not asked for: the backend server left"},
+		{spar.EventStopped, "the process ended in an orderly way", "none"},
+		{spar.EventStoreDown, "the table service stopped answering this node", "see store-outage.md"},
+		{spar.EventStoreUp, "the table service answers this node again", "none"},
+	}
+}
+
+func ownerKinds() []Kind {
+	return []Kind{
+		{spar.EventLeaseHeld, "the node holds its lease", "none"},
+		{spar.EventLeaseLost, "the node's lease ended", "many in one zone: its network is cut or its VMs were paused"},
+		{spar.EventSuspected, "a witness saw no renewal from a node", "often for one node: it is paused or overloaded"},
+		{spar.EventFenced, "witnesses promised not to renew a node's lease", "no takeover after it: the table is down"},
+		{spar.EventTakeover, "a lost node's slots went to others", "of a node that runs: look for a cut with timeline"},
+		{spar.EventAssigned, "slots without an owner got one", "often in the steady state: nodes come and go"},
+		{spar.EventMoveBegun, "a planned move of a slot began", "without moved after it: the receiver does not answer"},
+		{spar.EventMoved, "a slot has a new owner", "not asked for: see who took what out with `sparctl zone list`"},
+		{spar.EventMoveFailed, "a planned move failed; the owner stays", "again and again: the receiver is full or cut off"},
+		{spar.EventWitnesses, "the node changed its witnesses", "often: witnesses come and go; look for restarts"},
+	}
+}
+
+func operatorKinds() []Kind {
+	return []Kind{
+		{
+			spar.EventPreset, "a generation came into force on this node",
+			"missing on a node: `sparctl preset status` names it; check its way to the table and its peers",
+		},
+		{spar.EventZone, "an operator's change of a zone was accepted", "not known to you: the detail names the operator"},
+		{spar.EventServer, "an operator's change of a backend server was accepted", "as for zone"},
+		{
+			spar.EventQuarantined, "a request was put into quarantine, or an operator lifted it",
+			"look at the request, repair the backend server, then `sparctl quarantine lift`",
+		},
+	}
+}
+
+func loadKinds() []Kind {
+	return []Kind{
+		{spar.EventEjected, "a straggler was left out of the choice", "the same node again and again: replace its VM"},
+		{spar.EventReturned, "an ejected upstream is chosen again", "none"},
+		{spar.EventLimit, "admission changed its limit", "falls far: the backend server is slow or cold"},
+		{spar.EventShed, "requests were refused because the backend server is full", "put the preset for peaks in force"},
+		{spar.EventResumed, "a cut download went on at another upstream", "often: one upstream cuts its answers"},
+	}
+}
+
+// Reference returns the reference of all metrics and events as Markdown.
+func Reference() string {
+	var b strings.Builder
+
+	b.WriteString("## Metrics\n\n| metric | what it counts | when it looks wrong |\n|---|---|---|\n")
+
+	for _, m := range Catalog() {
+		fmt.Fprintf(&b, "| `%s` | %s | %s |\n", m.Name, m.Help, m.Action)
+	}
+
+	b.WriteString("\n## Events\n\n| event | meaning | when it looks wrong |\n|---|---|---|\n")
+
+	for _, k := range Kinds() {
+		fmt.Fprintf(&b, "| `%s` | %s | %s |\n", k.Kind, k.Help, k.Action)
+	}
+
+	return b.String()
+}
