--- a/fleet/view.go
+++ b/fleet/view.go
@@ -91,6 +91,23 @@
 	return nodes
 }
 
+// NodesWitnessedBy returns the nodes whose row names id as a witness, in the order of their ids.
+func (v *View) NodesWitnessedBy(id spar.NodeID) []Versioned[spar.Node] {
+	var nodes []Versioned[spar.Node]
+
+	for _, n := range v.nodes {
+		if n.Value.State != spar.NodeLost && slices.Contains(n.Value.Witnesses, id) {
+			nodes = append(nodes, n)
+		}
+	}
+
+	slices.SortFunc(nodes, func(a, b Versioned[spar.Node]) int {
+		return strings.Compare(string(a.Value.ID), string(b.Value.ID))
+	})
+
+	return nodes
+}
+
 // NodesOf returns the nodes of a service that are not lost, in the order of their ids.
 func (v *View) NodesOf(service string) []spar.Node {
 	return slices.DeleteFunc(v.Nodes(), func(n spar.Node) bool { return n.Service != service })
--- a/table/writer.go
+++ b/table/writer.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
-	"sync"
 
 	spar "sardinespar.example/spar"
 )
@@ -26,7 +25,8 @@
 	clock spar.Clock
 	key   string
 
-	mu       sync.Mutex
+	// turn is held during a commit. A mutex would not let go when a waiter's context ends.
+	turn     chan struct{}
 	number   int64
 	revision spar.Revision
 	pending  *spar.Txn
@@ -35,14 +35,17 @@
 // NewWriter returns the writer of a node's stream. The node id must be new, so that its marker
 // row is absent.
 func NewWriter(t spar.Table, clock spar.Clock, node spar.NodeID, stream string) *Writer {
-	return &Writer{table: t, clock: clock, key: "op/" + string(node) + "/" + stream}
+	return &Writer{table: t, clock: clock, key: "op/" + string(node) + "/" + stream, turn: make(chan struct{}, 1)}
 }
 
 // Commit commits txn. It returns unknown only when ctx ends first; the next call then resolves
-// that transaction before it sends its own.
+// that transaction before it sends its own. If ctx ends before txn was sent at all, it is rejected
+// with the marker's key as the conflict.
 func (w *Writer) Commit(ctx context.Context, txn spar.Txn) spar.Commit {
-	w.mu.Lock()
-	defer w.mu.Unlock()
+	if !w.enter(ctx) {
+		return spar.Commit{Verdict: spar.Rejected, Conflict: w.key}
+	}
+	defer w.leave()
 
 	if w.pending != nil {
 		if c := w.resolve(ctx); c.Verdict == spar.Unknown {
@@ -58,8 +61,10 @@
 
 // Settle resolves a transaction left in doubt, if there is one, and returns its verdict.
 func (w *Writer) Settle(ctx context.Context) (spar.Commit, bool) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
+	if !w.enter(ctx) {
+		return spar.Commit{Verdict: spar.Unknown}, true
+	}
+	defer w.leave()
 
 	if w.pending == nil {
 		return spar.Commit{}, false
@@ -68,6 +73,19 @@
 	return w.resolve(ctx), true
 }
 
+func (w *Writer) enter(ctx context.Context) bool {
+	select {
+	case w.turn <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (w *Writer) leave() {
+	<-w.turn
+}
+
 func (w *Writer) mark(txn spar.Txn) spar.Txn {
 	value, err := json.Marshal(marker{Number: w.number + 1})
 	if err != nil {
