--- /dev/null
+++ b/internal/flaw/flaw.go
@@ -0,0 +1,19 @@
+// Package flaw names faults that tests plant into the protocol of ownership, to show that their
+// oracle finds each of them. Programs use the zero value only.
+package flaw
+
+// Set is the planted faults.
+type Set struct {
+	// NoMargin lets holders and takers trust that all clocks run at the same rate.
+	NoMargin bool
+	// AnyIncarnation lets a witness answer for the earlier run of its process.
+	AnyIncarnation bool
+	// NoJointSets lets a holder ignore the witness set of an update in doubt.
+	NoJointSets bool
+	// Unconditional leaves the lost node's row out of the conditions of a takeover.
+	Unconditional bool
+	// NoWait lets a takeover ignore the time left on the lease.
+	NoWait bool
+	// FromReceipt counts a grant from when the answer arrived.
+	FromReceipt bool
+}
