--- a/plan/planner.go
+++ b/plan/planner.go
@@ -24,6 +24,7 @@
 	clock   spar.Clock
 	record  spar.Recorder
 	seen    map[spar.NodeID]sighting
+	pause   backoff
 }
 
 // sighting is the revision of a node's row and when it was first seen.
@@ -49,6 +50,10 @@
 
 func (p *Planner) loop(ctx context.Context) {
 	for p.clock.Sleep(ctx, planInterval) {
+		if !p.ready(ctx) {
+			continue
+		}
+
 		v := p.replica.View()
 		p.takeOverStale(ctx, v)
 
@@ -104,9 +109,12 @@
 
 	c := p.writer.Commit(ctx, txn)
 	if c.Verdict != spar.Applied {
+		p.pause = p.pause.failed(p.clock.Now())
+
 		return
 	}
 
+	p.pause = backoff{}
 	e.Revision = c.Revision
 	p.record.Record(e)
 	p.spread.Push(ctx, p.self, fleet.RowsOf(txn, c.Revision))
--- a/plan/takeover.go
+++ b/plan/takeover.go
@@ -2,66 +2,96 @@
 package plan
 
 import (
+	"maps"
+	"slices"
+
 	spar "sardinespar.example/spar"
 	"sardinespar.example/spar/fleet"
 	"sardinespar.example/spar/slots"
 )
 
-// TakeoverTxn returns the transaction that marks a node lost and gives its slots to others. The
-// caller has made sure that the node's lease at this revision of its row has ended.
-func TakeoverTxn(v *fleet.View, lost fleet.Versioned[spar.Node]) spar.Txn {
-	id := lost.Value.ID
-	txn := spar.Txn{
-		Conditions: []spar.Condition{{Key: fleet.NodeKey(id), Revision: lost.Revision}},
-		Writes:     []spar.Write{{Key: fleet.NodeKey(id), Value: fleet.Encode(lost.Value.WithState(spar.NodeLost))}},
+// TakeoverTxn returns the transaction that marks nodes lost and gives their slots to others. The
+// caller has made sure that each node's lease at this revision of its row has ended.
+func TakeoverTxn(v *fleet.View, lost ...fleet.Versioned[spar.Node]) spar.Txn {
+	return takeoverTxn(v, lost, nil)
+}
+
+// takeoverTxn is TakeoverTxn with nodes that must receive nothing because they are suspected too.
+func takeoverTxn(v *fleet.View, lost []fleet.Versioned[spar.Node], suspected map[spar.NodeID]bool) spar.Txn {
+	var txn spar.Txn
+
+	owners, services, without := map[spar.NodeID]bool{}, map[string]bool{}, maps.Clone(suspected)
+	if without == nil {
+		without = map[spar.NodeID]bool{}
+	}
+
+	for _, n := range lost {
+		key := fleet.NodeKey(n.Value.ID)
+		txn.Conditions = append(txn.Conditions, spar.Condition{Key: key, Revision: n.Revision})
+		txn.Writes = append(txn.Writes, spar.Write{Key: key, Value: fleet.Encode(n.Value.WithState(spar.NodeLost))})
+		owners[n.Value.ID], without[n.Value.ID] = true, true
+		services[n.Value.Service] = true
 	}
 
-	return reassign(v, txn, id, lost.Value.Service)
+	for _, name := range slices.Sorted(maps.Keys(services)) {
+		txn = reassign(v, txn, name, without, func(a spar.Assignment) bool { return owners[a.Owner] })
+	}
+
+	return txn
 }
 
 // AssignTxn returns the transaction that gives the unowned slots of a service to its live nodes,
-// and whether there is anything to assign.
+// and whether there is anything to assign. Slots of a lost node count as unowned.
 func AssignTxn(v *fleet.View, service string) (spar.Txn, bool) {
-	txn := reassign(v, spar.Txn{}, "", service)
+	txn := reassign(v, spar.Txn{}, service, nil, func(a spar.Assignment) bool {
+		n, _ := v.Node(a.Owner)
+
+		return !a.Owned() || n.Value.State == spar.NodeLost
+	})
 
 	return txn, len(txn.Writes) > 0
 }
 
-// reassign adds to txn the transfer of all slots that owner has to the service's live nodes.
-func reassign(v *fleet.View, txn spar.Txn, owner spar.NodeID, service string) spar.Txn {
+// reassign adds to txn the transfer of the slots that match to the service's live nodes. They stay
+// as they are if there is none.
+func reassign(
+	v *fleet.View, txn spar.Txn, service string, without map[spar.NodeID]bool, match func(spar.Assignment) bool,
+) spar.Txn {
 	s, ok := v.Service(service)
 	if !ok || s.Mode != spar.ModeKeyed {
 		return txn
 	}
 
-	bearers := Bearers(v, s, owner)
 	receivers := map[spar.NodeID]bool{}
 
+	bearers := bearersOf(v, s, without)
+	if len(bearers) == 0 {
+		return txn
+	}
+
 	for i := range s.SegmentCount() {
 		g := v.Segment(s, i)
 		next := g.Value
+		next.Slots = slices.Clone(next.Slots)
 
-		for slot := g.Value.First(); int(slot) < int(g.Value.First())+len(g.Value.Slots); slot++ {
-			a := g.Value.At(slot)
-			if a.Owner != owner || len(bearers) == 0 {
-				continue
-			}
-
-			var id spar.NodeID
+		for j, a := range g.Value.Slots {
+			if match(a) {
+				var id spar.NodeID
 
-			id, bearers = slots.Fill(bearers)
-			receivers[id] = true
-			next = next.With(slot, a.Taken(id))
+				id, bearers = slots.Fill(bearers)
+				receivers[id] = true
+				next.Slots[j] = a.Taken(id)
+			}
 		}
 
-		if changed(g.Value, next) {
+		if !slices.Equal(g.Value.Slots, next.Slots) {
 			key := fleet.SegmentKey(service, i)
 			txn.Conditions = append(txn.Conditions, spar.Condition{Key: key, Revision: g.Revision})
 			txn.Writes = append(txn.Writes, spar.Write{Key: key, Value: fleet.Encode(next)})
 		}
 	}
 
-	for id := range receivers {
+	for _, id := range slices.Sorted(maps.Keys(receivers)) {
 		n, _ := v.Node(id)
 		txn.Conditions = append(txn.Conditions, spar.Condition{Key: fleet.NodeKey(id), Revision: n.Revision})
 	}
@@ -69,18 +99,12 @@
 	return txn
 }
 
-func changed(before, after spar.Segment) bool {
-	for i := range before.Slots {
-		if before.Slots[i] != after.Slots[i] {
-			return true
-		}
-	}
-
-	return false
-}
-
 // Bearers returns the live nodes of a service that may receive slots, without one of them.
 func Bearers(v *fleet.View, s spar.Service, without spar.NodeID) []slots.Bearer {
+	return bearersOf(v, s, map[spar.NodeID]bool{without: true})
+}
+
+func bearersOf(v *fleet.View, s spar.Service, without map[spar.NodeID]bool) []slots.Bearer {
 	segments := make([]spar.Segment, 0, s.SegmentCount())
 	for i := range s.SegmentCount() {
 		segments = append(segments, v.Segment(s, i).Value)
@@ -91,7 +115,7 @@
 	var bearers []slots.Bearer
 
 	for _, n := range v.NodesOf(s.Name) {
-		if n.State == spar.NodeLive && n.ID != without {
+		if n.State == spar.NodeLive && !without[n.ID] && !v.Withdrawn(n) {
 			bearers = append(bearers, slots.Bearer{
 				ID: n.ID, Weight: float64(max(1, n.Capacity.Slots)), Owned: owned[n.ID],
 			})
