Register with witness leases, again under a new incarnation once lost

The registrar composes member, lease, witness, takeover and planner for one registration and starts the next one when the row is lost. policy.lease = witness works and is the default as documented; table selects the baseline.

Tests run eight registrars in virtual time with an oracle that knows the true time: kills, freezes, a lost zone, a 60 s table outage, an abandoned takeover, two random faults at a time, and six planted flaws that the oracle must find.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -17,10 +17,8 @@
 	"sardinespar.example/spar/event"
 	"sardinespar.example/spar/fleet"
 	"sardinespar.example/spar/guard"
-	"sardinespar.example/spar/lease"
 	"sardinespar.example/spar/peers"
 	"sardinespar.example/spar/pick"
-	"sardinespar.example/spar/plan"
 	"sardinespar.example/spar/route"
 )
 
@@ -61,23 +59,26 @@
 	limiter admit.Limiter
 	guard   *guard.Guard
 	handler *route.Handler
-	lease   *leaseRef
+	joined  *Registrar
 
-	mu     sync.Mutex
-	member *fleet.Member
-	stop   context.CancelFunc
-	wg     sync.WaitGroup
+	mu   sync.Mutex
+	stop context.CancelFunc
+	wg   sync.WaitGroup
 }
 
 // New returns an agent that is not running.
 func New(cfg config.Settings, deps Deps) *Agent {
-	a := &Agent{cfg: cfg, deps: deps, lease: &leaseRef{}, replica: fleet.NewReplica(), traffic: &peers.Traffic{}}
+	a := &Agent{cfg: cfg, deps: deps, replica: fleet.NewReplica(), traffic: &peers.Traffic{}}
 	a.ring = event.NewRing(cfg.EventCount, deps.Wall)
 	a.pool = peers.NewPool(deps.Dial, a.traffic)
 	a.spread = fleet.NewSync(a.replica, deps.Table, a.pool, deps.Clock, a.ring)
 	a.limiter = admit.NewFixed(deps.Clock, cfg.MaxQueue)
-	a.guard = guard.New(a.id, a.replica, a.lease, a.limiter, deps.HTTP, deps.Clock)
-	a.handler = route.New(a.id, a.replica, a.guard, deps.HTTP, pick.NewRobin(), deps.Clock)
+	a.joined = NewRegistrar(Ownership{
+		Clock: deps.Clock, Table: deps.Table, Calls: a.pool, Replica: a.replica, Spread: a.spread, Record: a.ring,
+		Incarnation: deps.Incarnation, Lease: cfg.Lease, Registered: a.ring.Named,
+	})
+	a.guard = guard.New(a.joined.ID, a.replica, a.joined, a.limiter, deps.HTTP, deps.Clock)
+	a.handler = route.New(a.joined.ID, a.replica, a.guard, deps.HTTP, pick.NewRobin(), deps.Clock)
 
 	return a
 }
@@ -86,6 +87,7 @@
 func (a *Agent) Run(ctx context.Context, ln Listeners) error {
 	mux := peers.NewMux()
 	a.spread.Register(mux)
+	a.joined.Register(mux)
 
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
@@ -142,91 +144,36 @@
 	return nil
 }
 
-// id returns the node's current id, empty before the backend server has announced itself.
-func (a *Agent) id() spar.NodeID {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-
-	if a.member == nil {
-		return ""
-	}
-
-	return a.member.ID()
-}
-
-// leaseRef is the lease of the current registration.
-type leaseRef struct {
-	mu    sync.Mutex
-	lease spar.Lease
-}
-
-// Until returns the time on the local clock at which the lease ends.
-func (l *leaseRef) Until() spar.Millis {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-
-	if l.lease == nil {
-		return 0
-	}
-
-	return l.lease.Until()
-}
-
-func (l *leaseRef) set(lease spar.Lease) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-
-	l.lease = lease
-}
-
-// join registers the node under a new id and starts its lease and planner.
+// join registers the node and keeps it registered.
 func (a *Agent) join(ctx context.Context, n Announcement) {
 	node := spar.Node{
-		ID: spar.NodeID(a.cfg.VM + "." + a.deps.Incarnation()), VM: a.cfg.VM, Service: n.Service,
+		VM: a.cfg.VM, Service: n.Service,
 		Zone: a.cfg.Zone, Region: a.cfg.Region, HTTPAddr: a.cfg.HTTPAddr, PeerAddr: a.cfg.PeerAddr,
 		Capacity:     spar.Capacity{Slots: n.Slots, Conns: n.Conns},
-		ChecksGrants: n.ChecksGrants, State: spar.NodeLive,
+		ChecksGrants: n.ChecksGrants,
 	}
-	member := fleet.NewMember(node, a.spread, a.deps.Table, a.deps.Clock)
 
 	ctx, a.stop = context.WithCancel(ctx)
-	a.member = member
-	a.ring.Named(node.ID)
 	a.limiter.Reset(node.Capacity)
 	a.guard.Attach(&guard.Backend{Addr: n.Addr, ChecksGrants: n.ChecksGrants})
-	a.wg.Go(func() { a.run(ctx, member, n) })
+	a.wg.Go(func() { a.run(ctx, node, n.shape()) })
 }
 
-// run keeps one registration until ctx ends.
-func (a *Agent) run(ctx context.Context, m *fleet.Member, n Announcement) {
-	if !a.ensureService(ctx, m, n.shape()) {
-		return
-	}
-
-	if c := m.Update(ctx, func(n spar.Node) spar.Node { return n }); c.Verdict != spar.Applied {
-		return
+// run keeps the node registered until ctx ends.
+func (a *Agent) run(ctx context.Context, node spar.Node, shape spar.Service) {
+	if err := a.joined.Run(ctx, node, shape); err != nil {
+		a.deps.Log.Error("not registered", "vm", node.VM, "err", err)
 	}
-
-	m.Announce(ctx)
-	a.ring.Record(spar.Event{Kind: spar.EventRegistered, Service: n.Service})
-	a.deps.Log.Info("registered", "node", m.ID(), "service", n.Service)
-
-	holder := lease.NewTableHolder(m, a.deps.Clock)
-	a.lease.set(holder)
-
-	planner := plan.NewPlanner(m.ID(), a.replica, a.spread, a.deps.Table, a.deps.Clock, a.ring)
-
-	a.wg.Go(func() { holder.Run(ctx) })
-	planner.Run(ctx)
 }
 
-// leave marks the node as lost by its own transaction.
+// leave marks the node as leaving by its own transaction.
 func (a *Agent) leave(ctx context.Context) {
 	a.mu.Lock()
-	member, stop := a.member, a.stop
+	stop := a.stop
 	a.mu.Unlock()
 
-	if member == nil {
+	member := a.joined.Member()
+	if stop == nil || member == nil {
 		return
 	}
 
--- a/agent/announce.go
+++ b/agent/announce.go
@@ -8,7 +8,6 @@
 	"net/http"
 
 	spar "sardinespar.example/spar"
-	"sardinespar.example/spar/fleet"
 )
 
 const maxAnnouncementBytes = 64 << 10
@@ -85,44 +84,9 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 
-	if a.member == nil && n.State == StateUp {
+	if a.stop == nil && n.State == StateUp {
 		a.join(ctx, n)
 	}
 
 	w.WriteHeader(http.StatusNoContent)
 }
-
-// ensureService writes the service's shape if it has none yet, and reports whether it is the
-// announced one.
-func (a *Agent) ensureService(ctx context.Context, m *fleet.Member, s spar.Service) bool {
-	key := fleet.ServiceKey(s.Name)
-
-	for {
-		row, ok, err := a.deps.Table.Get(ctx, key)
-		if err == nil && ok {
-			a.replica.Merge([]spar.Row{row}, 0)
-
-			known, _ := a.replica.View().Service(s.Name)
-			if known != s {
-				a.deps.Log.Error("service has another shape", "service", s.Name, "table", known, "announced", s)
-			}
-
-			return known == s
-		}
-
-		if err == nil {
-			a.deps.Table.Commit(ctx, spar.Txn{
-				Conditions: []spar.Condition{{Key: key}},
-				Writes:     []spar.Write{{Key: key, Value: fleet.Encode(s)}},
-			})
-
-			continue
-		}
-
-		if !a.deps.Clock.Sleep(ctx, 200) {
-			a.deps.Log.Warn("not registered", "node", m.ID())
-
-			return false
-		}
-	}
-}
--- /dev/null
+++ b/agent/cluster_test.go
@@ -0,0 +1,279 @@
+package agent_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	spar "sardinespar.example/spar"
+	"sardinespar.example/spar/agent"
+	"sardinespar.example/spar/config"
+	"sardinespar.example/spar/fault"
+	"sardinespar.example/spar/fleet"
+	"sardinespar.example/spar/internal/flaw"
+	"sardinespar.example/spar/peers"
+	"sardinespar.example/spar/table"
+)
+
+var shape = spar.Service{Name: "pledge-desk", Mode: spar.ModeKeyed, Slots: 48}
+
+// setup is what a cluster is made of. Drift is the clock error of the node at an index.
+type setup struct {
+	nodes int
+	lease string
+	flaws flaw.Set
+	drift func(i int) fault.Drift
+	seed  uint64
+}
+
+// cluster is a fleet of registrars over a fake network, without the request path.
+type cluster struct {
+	setup
+
+	net     *fault.Net
+	history *history
+	store   *fault.Store
+	oracle  *oracle
+	ctx     context.Context //nolint:containedctx // it bounds the life of all nodes.
+	nodes   []*node
+}
+
+// node is one process; it is nil in the cluster while it doesn't run.
+type node struct {
+	vm      *fault.VM
+	replica *fleet.Replica
+	reg     *agent.Registrar
+	cancel  context.CancelFunc
+	wg      sync.WaitGroup
+}
+
+func host(i int) string { return fmt.Sprintf("10.0.0.%d", i+1) }
+
+// withCluster runs f in virtual time on a cluster whose slots are all held, and returns what the
+// oracle found.
+func withCluster(t *testing.T, s setup, f func(c *cluster)) []string {
+	t.Helper()
+
+	var found []string
+
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		history := &history{inner: table.NewMemory(), commits: map[spar.Revision]spar.Txn{}}
+		c := &cluster{
+			setup: s, net: fault.NewNet(s.seed), history: history, store: fault.NewStore(history), ctx: ctx,
+			nodes: make([]*node, s.nodes),
+		}
+		c.oracle = newOracle(c, history)
+
+		var wg sync.WaitGroup
+
+		wg.Go(func() { c.oracle.loop(ctx) })
+
+		c.assign("nobody")
+
+		for i := range c.nodes {
+			c.start(i)
+		}
+
+		time.Sleep(5 * time.Second)
+		c.assign("")
+
+		if !c.heldWithin(5 * time.Second) {
+			t.Fatalf("slots are not held after the start: %s", c.state())
+		}
+
+		f(c)
+
+		found = c.oracle.found()
+
+		cancel()
+		c.net.Close()
+
+		for i := range c.nodes {
+			c.kill(i)
+		}
+
+		wg.Wait()
+		// Virtual time stops with this function; calls under way end before.
+		time.Sleep(5 * time.Second)
+	})
+
+	return found
+}
+
+// assign gives all slots to an owner without a row, so that the planner assigns none of them before
+// all nodes are live.
+func (c *cluster) assign(owner spar.NodeID) {
+	key := fleet.SegmentKey(shape.Name, 0)
+	g := spar.NewSegment(shape, 0)
+
+	if row, ok, _ := c.history.Get(c.ctx, key); ok {
+		_ = json.Unmarshal(row.Value, &g)
+	}
+
+	for i, a := range g.Slots {
+		g.Slots[i] = a.Taken(owner)
+	}
+
+	c.history.Commit(c.ctx, spar.Txn{Writes: []spar.Write{{Key: key, Value: fleet.Encode(g)}}})
+}
+
+func (c *cluster) start(i int) {
+	d := fault.Drift{Offset: spar.Millis(1000 * (i + 1))}
+	if c.drift != nil {
+		d = c.drift(i)
+	}
+
+	n := &node{vm: c.net.VM(host(i), d), replica: fleet.NewReplica()}
+	ctx, cancel := context.WithCancel(c.ctx)
+	pool := peers.NewPool(n.vm.Dial, &peers.Traffic{})
+	calls, rows, clock := n.vm.Calls(pool), n.vm.Table(c.store), n.vm.Clock()
+	spread := fleet.NewSync(n.replica, rows, calls, clock, c.oracle)
+
+	n.reg = agent.NewRegistrar(agent.Ownership{
+		Clock: clock, Table: rows, Calls: calls, Replica: n.replica, Spread: spread, Record: c.oracle,
+		Incarnation: func() string { return c.oracle.incarnation(i) }, Lease: c.lease, Flaws: c.flaws,
+	})
+
+	mux := peers.NewMux()
+	spread.Register(mux)
+	n.reg.Register(mux)
+
+	addr := host(i) + ":7000"
+	row := spar.Node{
+		VM: fmt.Sprintf("vm%02d", i), Service: shape.Name, Zone: spar.Zone([]string{"a", "b", "c"}[i%3]), Region: "r",
+		PeerAddr: addr, Capacity: spar.Capacity{Slots: 10, Conns: 130},
+	}
+	ln := n.vm.Listen(addr)
+
+	n.wg.Go(func() { _ = peers.NewServer(mux, &peers.Traffic{}).Serve(ctx, ln) })
+	n.wg.Go(func() { spread.Run(ctx) })
+	n.wg.Go(func() { _ = n.reg.Run(ctx, row, shape) })
+
+	n.cancel = func() {
+		cancel()
+		pool.Close()
+	}
+	c.set(i, n)
+}
+
+// set changes the running nodes, which the oracle reads.
+func (c *cluster) set(i int, n *node) {
+	c.oracle.mu.Lock()
+	defer c.oracle.mu.Unlock()
+
+	c.nodes[i] = n
+}
+
+func (c *cluster) kill(i int) {
+	n := c.nodes[i]
+	if n == nil {
+		return
+	}
+
+	c.set(i, nil)
+
+	n.cancel()
+	n.vm.Kill()
+	n.wg.Wait()
+}
+
+// cutOff cuts a node off from others, both ways.
+func (c *cluster) cutOff(i int, others ...int) {
+	for _, j := range others {
+		c.net.Part(host(i), host(j))
+	}
+}
+
+// index returns the index of the node whose current id is given, -1 if it doesn't run.
+func (c *cluster) index(id spar.NodeID) int {
+	for i, n := range c.nodes {
+		if n != nil && n.reg.ID() == id {
+			return i
+		}
+	}
+
+	return -1
+}
+
+// witnesses returns the indices of a node's witnesses in the order of its row.
+func (c *cluster) witnesses(i int) []int {
+	self, _ := c.nodes[i].reg.Member().Self()
+
+	indices := make([]int, 0, len(self.Witnesses))
+	for _, id := range self.Witnesses {
+		indices = append(indices, c.index(id))
+	}
+
+	return indices
+}
+
+// coordinator returns the index of the node that takes over the victim.
+func (c *cluster) coordinator() int {
+	for i := range c.nodes {
+		if i%3 != victim%3 {
+			return i
+		}
+	}
+
+	return -1
+}
+
+// row returns a node's row in the table and its revision.
+func (c *cluster) row(id spar.NodeID) (spar.Node, spar.Revision) {
+	row, _, _ := c.history.Get(c.ctx, fleet.NodeKey(id))
+
+	var n spar.Node
+	_ = json.Unmarshal(row.Value, &n)
+
+	return n, row.Revision
+}
+
+// untilFenced waits until a majority of a node's witnesses has promised to fence it.
+func (c *cluster) untilFenced(id spar.NodeID) {
+	for !c.oracle.fenced(id) {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// heldWithin waits until each slot has an owner that would admit, and reports false after d.
+func (c *cluster) heldWithin(d time.Duration) bool {
+	for began := time.Now(); time.Since(began) <= d; time.Sleep(time.Millisecond) {
+		if c.oracle.unheld() == 0 {
+			return true
+		}
+	}
+
+	return false
+}
+
+func (c *cluster) state() string {
+	var b strings.Builder
+
+	for i, n := range c.nodes {
+		if n == nil {
+			fmt.Fprintf(&b, "\n%d: not running", i)
+
+			continue
+		}
+
+		fmt.Fprintf(&b, "\n%d: %s lease left %.0f owns %d complete %d", i, n.reg.ID(), n.reg.Until()-n.vm.Peek(),
+			len(owned(n.replica.View(), n.reg.ID())), n.replica.View().Complete())
+
+		if m := n.reg.Member(); m != nil {
+			self, revision := m.Self()
+			fmt.Fprintf(&b, " %s@%d %v", self.State, revision, self.Witnesses)
+		}
+	}
+
+	return b.String() + "\n" + c.oracle.tail()
+}
+
+func witnessed(seed uint64) setup {
+	return setup{nodes: 8, lease: config.LeaseWitness, seed: seed}
+}
