--- a/agent/operators.go
+++ b/agent/operators.go
@@ -50,7 +50,7 @@
 func (o *operators) serve(a *Agent) {
 	o.follower = preset.NewFollower(a.replica, a.deps.Clock, a.ring, nil)
 	o.service = admin.New(admin.Deps{
-		Self: a.id, Replica: a.replica, Spread: a.spread, Table: a.deps.Table, Calls: a.pool, Ring: a.ring,
+		Self: a.joined.ID, Replica: a.replica, Spread: a.spread, Table: a.deps.Table, Calls: a.pool, Ring: a.ring,
 		Clock: a.deps.Clock, Wall: a.deps.Wall, Report: a.report,
 	})
 
@@ -81,7 +81,7 @@
 }
 
 func (a *Agent) leaseRemaining() spar.Millis {
-	return max(0, a.lease.Until()-a.deps.Clock.Now())
+	return max(0, a.joined.Until()-a.deps.Clock.Now())
 }
 
 // renewals returns the calls to witnesses by result.
