Measure waits from the first send that a failing VM did not take

Cause: requests that entered through the killed or frozen VM hung with it, so the longest wait measured the caller's patience (6.2 s) and not the system.

--- a/cmd/sparload/exper/scenario.go
+++ b/cmd/sparload/exper/scenario.go
@@ -57,6 +57,7 @@
 	windows []judge.Window
 	open    map[spar.Zone]int64
 	failed  []string
+	runner  *load.Runner
 }
 
 // Dirs are the directories of programs and of an experiment's files.
@@ -123,6 +124,8 @@
 
 	runner := load.NewRunner(entries, seed)
 
+	s.runner = runner
+
 	sending, stop := context.WithTimeout(ctx, sc.Duration)
 	defer stop()
 
--- a/cmd/sparload/exper/steps.go
+++ b/cmd/sparload/exper/steps.go
@@ -10,6 +10,7 @@
 
 	spar "sardinespar.example/spar"
 	"sardinespar.example/spar/cmd/sparload/judge"
+	"sardinespar.example/spar/cmd/sparload/launch"
 	"sardinespar.example/spar/fleet"
 )
 
@@ -61,13 +62,19 @@
 func Kill(service string, n int) func(context.Context, *Scene) error {
 	return func(_ context.Context, s *Scene) error {
 		v := s.VM(service, n)
+		s.fail(v)
 		v.Kill()
-		s.failed = append(s.failed, v.HTTPAddr())
 
 		return nil
 	}
 }
 
+// fail notes that a VM fails, so that no new request enters through it.
+func (s *Scene) fail(v *launch.VM) {
+	s.failed = append(s.failed, v.HTTPAddr())
+	s.runner.Fail(v.HTTPAddr(), true)
+}
+
 // Restart starts a killed VM's processes again.
 func Restart(service string, n int) func(context.Context, *Scene) error {
 	return func(ctx context.Context, s *Scene) error {
@@ -76,6 +83,8 @@
 			return err
 		}
 
+		s.runner.Fail(v.HTTPAddr(), false)
+
 		return s.Fleet.StartBackend(ctx, v)
 	}
 }
@@ -84,8 +93,8 @@
 func Freeze(service string, n int) func(context.Context, *Scene) error {
 	return func(_ context.Context, s *Scene) error {
 		v := s.VM(service, n)
+		s.fail(v)
 		v.Freeze()
-		s.failed = append(s.failed, v.HTTPAddr())
 
 		return nil
 	}
@@ -94,7 +103,9 @@
 // Thaw lets a frozen VM go on.
 func Thaw(service string, n int) func(context.Context, *Scene) error {
 	return func(_ context.Context, s *Scene) error {
-		s.VM(service, n).Thaw()
+		v := s.VM(service, n)
+		v.Thaw()
+		s.runner.Fail(v.HTTPAddr(), false)
 
 		return nil
 	}
--- a/cmd/sparload/load/request.go
+++ b/cmd/sparload/load/request.go
@@ -61,10 +61,15 @@
 		token = r.takeToken(q.key)
 	}
 
+	sentAt := r.since(time.Now())
+
 	for sends := 1; ; sends++ {
 		next := r.send(ctx, q, token)
-		next.Sends = sends
-		next.Token = token
+		next.Sends, next.Token, next.SentMs = sends, token, sentAt
+
+		if next.Error != "" && r.hasFailed(next.Entry) {
+			sentAt = r.since(time.Now())
+		}
 
 		if next.fresh != "" {
 			if next.Completed() {
@@ -115,6 +120,13 @@
 func (r *Runner) send(ctx context.Context, q request, token string) sent {
 	entry := r.entry()
 
+	if q.traffic.Kind != launch.KindDownload {
+		var cancel context.CancelFunc
+
+		ctx, cancel = context.WithTimeout(ctx, sendTime)
+		defer cancel()
+	}
+
 	req, err := http.NewRequestWithContext(ctx, q.method(), q.url(entry), http.NoBody)
 	if err != nil {
 		panic("load: request can't be made: " + err.Error())
--- a/cmd/sparload/load/result.go
+++ b/cmd/sparload/load/result.go
@@ -22,8 +22,10 @@
 	// ArrivalMs, FirstMs and DoneMs are milliseconds since the start of the run: when the request
 	// was due, when its answer began, and when the answer was complete.
 	ArrivalMs float64 `json:"arrival_ms"`
-	FirstMs   float64 `json:"first_ms"`
-	DoneMs    float64 `json:"done_ms"`
+	// SentMs is when the request was first sent to a VM that did not fail with it.
+	SentMs  float64 `json:"sent_ms"`
+	FirstMs float64 `json:"first_ms"`
+	DoneMs  float64 `json:"done_ms"`
 	// Mixed is set if the answer belongs to another request, Cut if it ended early but looked whole.
 	Mixed bool `json:"mixed,omitempty"`
 	Cut   bool `json:"cut,omitempty"`
--- a/cmd/sparload/load/runner.go
+++ b/cmd/sparload/load/runner.go
@@ -18,8 +18,10 @@
 	// downloadTime bounds one download.
 	downloadTime = 60 * time.Second
 	resendPause  = 200 * time.Millisecond
-	dialTimeout  = time.Second
-	maxIdle      = 512
+	// sendTime bounds one send of a request that is no download.
+	sendTime    = 3 * time.Second
+	dialTimeout = time.Second
+	maxIdle     = 512
 )
 
 // Runner sends the traffic of a deployment to its nodes.
@@ -32,6 +34,7 @@
 	rng     *rand.Rand
 	results []Result
 	tokens  map[string]string
+	failed  map[string]bool
 	wg      sync.WaitGroup
 }
 
@@ -45,6 +48,7 @@
 		}},
 		rng:    rand.New(rand.NewPCG(seed, 0)),
 		tokens: map[string]string{},
+		failed: map[string]bool{},
 	}
 }
 
@@ -110,11 +114,32 @@
 	return fmt.Sprintf("k%d", r.rng.IntN(t.Keys))
 }
 
+// Fail marks the entry of a VM that was killed or frozen, or that is back. Callers learn of it at
+// once, since the experiments measure the system and not the callers' health checks.
+func (r *Runner) Fail(entry string, failed bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	r.failed[entry] = failed
+}
+
+func (r *Runner) hasFailed(entry string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	return r.failed[entry]
+}
+
 func (r *Runner) entry() string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 
-	return r.entries[r.rng.IntN(len(r.entries))]
+	for {
+		entry := r.entries[r.rng.IntN(len(r.entries))]
+		if !r.failed[entry] {
+			return entry
+		}
+	}
 }
 
 func (r *Runner) takeToken(key string) string {
@@ -153,6 +178,7 @@
 	result := r.pursue(ctx, q)
 	result.Traffic, result.Service, result.Key = q.traffic.Name, q.traffic.Service, q.key
 	result.ArrivalMs = r.since(q.due)
+	result.SentMs = max(result.SentMs, result.ArrivalMs)
 	result.DoneMs = r.since(time.Now())
 
 	r.mu.Lock()
--- a/cmd/sparload/main.go
+++ b/cmd/sparload/main.go
@@ -41,6 +41,7 @@
 	demo := app.Command("demo", "Take a zone out and back under traffic. Exit status 3 if a promise was broken.")
 	measure := app.Command("measure", "Run all scenarios against their baselines.")
 	runs := measure.Flag("runs", "Runs of each scenario.").Default("1").Int()
+	only := measure.Flag("only", "Run only scenarios whose name contains this.").String()
 	slopes := app.Command("slopes", "Measure the control cost of idle fleets of several sizes.")
 	sizes := slopes.Flag("size", "Multiple of the deployment's size; may be repeated.").Default("1", "2", "4").Ints()
 
@@ -61,7 +62,7 @@
 	case demo.FullCommand():
 		result, err = runDemo(ctx, d, dirs, *seed, os.Stdout)
 	case measure.FullCommand():
-		result, err = runMeasure(ctx, d, dirs, *seed, *runs, os.Stdout)
+		result, err = runMeasure(ctx, d, dirs, experiment{seed: *seed, runs: *runs, only: *only}, os.Stdout)
 	case slopes.FullCommand():
 		result, err = runSlopes(ctx, d, dirs, *sizes, os.Stdout)
 	}
--- a/cmd/sparload/report/summary.go
+++ b/cmd/sparload/report/summary.go
@@ -105,8 +105,8 @@
 	return s
 }
 
-// longestWait returns the longest time from the moment a request for a key was due until a
-// request for that key, due then or later, had its answer begun.
+// longestWait returns the longest time from the moment a request for a key was sent until a
+// request for that key, sent then or later, had its answer begun.
 func longestWait(results []load.Result) float64 {
 	byKey := map[string][]load.Result{}
 	for _, r := range results {
@@ -116,9 +116,9 @@
 	longest := 0.0
 
 	for _, rs := range byKey {
-		slices.SortFunc(rs, func(a, b load.Result) int { return cmp.Compare(a.ArrivalMs, b.ArrivalMs) })
+		slices.SortFunc(rs, func(a, b load.Result) int { return cmp.Compare(a.SentMs, b.SentMs) })
 
-		// Going back in time, served is when the key was next served for a request due later.
+		// Going back in time, served is when the key was next served for a request sent later.
 		served := -1.0
 
 		for _, r := range slices.Backward(rs) {
@@ -127,7 +127,7 @@
 			}
 
 			if served >= 0 {
-				longest = max(longest, served-r.ArrivalMs)
+				longest = max(longest, served-r.SentMs)
 			}
 		}
 	}
