Move slots by consent and let nodes leave without refused requests

Slots changed owner only after a lease had ended, a leaving node dropped its calls, and operators' withdrawals had no effect.

The planner on duty now asks owners to move slots (slot.move). The owner holds the calls of a slot at a gate, lets those in flight end, hands its records to the receiver (slot.receive) and commits the new owner; a receiver admits nothing before it has the records of the epoch. Nodes leave on SIGTERM, when their backend server announces it, and when it can't be reached or is silent for 3 s; withdrawn nodes give their slots away and stay. Shares of nodes that join or are put back grow in four steps, 2 s apart.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -17,10 +18,8 @@
 	"sardinespar.example/spar/event"
 	"sardinespar.example/spar/fleet"
 	"sardinespar.example/spar/guard"
-	"sardinespar.example/spar/lease"
 	"sardinespar.example/spar/peers"
 	"sardinespar.example/spar/pick"
-	"sardinespar.example/spar/plan"
 	"sardinespar.example/spar/route"
 )
 
@@ -33,6 +32,14 @@
 	HTTP        http.RoundTripper
 	Log         *log.Logger
 	Incarnation func() string
+	// Lease returns the lease holder of a registration; nil stands for the table lease.
+	Lease func(*fleet.Member) Holder
+}
+
+// Holder holds the lease of a registration while it runs.
+type Holder interface {
+	spar.Lease
+	Run(ctx context.Context)
 }
 
 // Listeners are the three listeners of a node.
@@ -43,9 +50,10 @@
 }
 
 const (
-	drainTimeout   spar.Millis = 30_000
-	headerTimeout              = 10 * time.Second
-	maxHeaderBytes             = 64 << 10
+	// drainTimeout is the longest deadline of a request, so that a shutdown cuts none.
+	drainTimeout   = route.DeadlineMost
+	headerTimeout  = 10 * time.Second
+	maxHeaderBytes = 64 << 10
 )
 
 // Agent is one spard.
@@ -63,9 +71,10 @@
 	handler *route.Handler
 	lease   *leaseRef
 
+	closing atomic.Bool
+
 	mu     sync.Mutex
-	member *fleet.Member
-	stop   context.CancelFunc
+	tenure *tenure
 	wg     sync.WaitGroup
 }
 
@@ -86,12 +95,13 @@
 func (a *Agent) Run(ctx context.Context, ln Listeners) error {
 	mux := peers.NewMux()
 	a.spread.Register(mux)
+	a.register(mux)
 
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 
 	server := peers.NewServer(mux, a.traffic)
-	public := a.serveHTTP(ln.HTTP, a.handler)
+	public := a.serveHTTP(ln.HTTP, http.HandlerFunc(a.serve))
 	local := a.serveHTTP(ln.Local, a.localMux(background))
 
 	a.wg.Go(func() { a.spread.Run(background) })
@@ -121,6 +131,16 @@
 	return s
 }
 
+// serve answers callers and nodes. While the node shuts down, each answer asks the other side to
+// close its connection: a request sent on one that is being closed may be lost.
+func (a *Agent) serve(w http.ResponseWriter, r *http.Request) {
+	if a.closing.Load() {
+		w.Header().Set("Connection", "close")
+	}
+
+	a.handler.ServeHTTP(w, r)
+}
+
 // shutdown leaves the fleet, lets the calls in flight end, and closes the listeners.
 func (a *Agent) shutdown(ctx context.Context, servers ...*http.Server) error {
 	a.deps.Log.Info("draining")
@@ -128,6 +148,7 @@
 	ctx, cancel := context.WithTimeout(ctx, drainTimeout.Duration())
 	defer cancel()
 
+	a.closing.Store(true)
 	a.leave(ctx)
 	a.guard.Drain(ctx)
 
@@ -147,11 +168,11 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 
-	if a.member == nil {
+	if a.tenure == nil {
 		return ""
 	}
 
-	return a.member.ID()
+	return a.tenure.member.ID()
 }
 
 // leaseRef is the lease of the current registration.
@@ -178,60 +199,3 @@
 
 	l.lease = lease
 }
-
-// join registers the node under a new id and starts its lease and planner.
-func (a *Agent) join(ctx context.Context, n Announcement) {
-	node := spar.Node{
-		ID: spar.NodeID(a.cfg.VM + "." + a.deps.Incarnation()), VM: a.cfg.VM, Service: n.Service,
-		Zone: a.cfg.Zone, Region: a.cfg.Region, HTTPAddr: a.cfg.HTTPAddr, PeerAddr: a.cfg.PeerAddr,
-		Capacity:     spar.Capacity{Slots: n.Slots, Conns: n.Conns},
-		ChecksGrants: n.ChecksGrants, State: spar.NodeLive,
-	}
-	member := fleet.NewMember(node, a.spread, a.deps.Table, a.deps.Clock)
-
-	ctx, a.stop = context.WithCancel(ctx)
-	a.member = member
-	a.ring.Named(node.ID)
-	a.limiter.Reset(node.Capacity)
-	a.guard.Attach(&guard.Backend{Addr: n.Addr, ChecksGrants: n.ChecksGrants})
-	a.wg.Go(func() { a.run(ctx, member, n) })
-}
-
-// run keeps one registration until ctx ends.
-func (a *Agent) run(ctx context.Context, m *fleet.Member, n Announcement) {
-	if !a.ensureService(ctx, m, n.shape()) {
-		return
-	}
-
-	if c := m.Update(ctx, func(n spar.Node) spar.Node { return n }); c.Verdict != spar.Applied {
-		return
-	}
-
-	m.Announce(ctx)
-	a.ring.Record(spar.Event{Kind: spar.EventRegistered, Service: n.Service})
-	a.deps.Log.Info("registered", "node", m.ID(), "service", n.Service)
-
-	holder := lease.NewTableHolder(m, a.deps.Clock)
-	a.lease.set(holder)
-
-	planner := plan.NewPlanner(m.ID(), a.replica, a.spread, a.deps.Table, a.deps.Clock, a.ring)
-
-	a.wg.Go(func() { holder.Run(ctx) })
-	planner.Run(ctx)
-}
-
-// leave marks the node as lost by its own transaction.
-func (a *Agent) leave(ctx context.Context) {
-	a.mu.Lock()
-	member, stop := a.member, a.stop
-	a.mu.Unlock()
-
-	if member == nil {
-		return
-	}
-
-	stop()
-	a.ring.Record(spar.Event{Kind: spar.EventLeaving})
-	member.Update(ctx, func(n spar.Node) spar.Node { return n.WithState(spar.NodeLeaving) })
-	member.Announce(ctx)
-}
--- a/agent/announce.go
+++ b/agent/announce.go
@@ -82,14 +82,30 @@
 		return
 	}
 
+	w.WriteHeader(a.announced(ctx, n))
+}
+
+// announced takes note of an announcement and returns the status of its answer: Gone tells a backend
+// server that leaves that it gets no more work.
+func (a *Agent) announced(ctx context.Context, n Announcement) int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 
-	if a.member == nil && n.State == StateUp {
+	t, leaving := a.tenure, n.State == StateLeaving
+	if t != nil {
+		t.announced()
+	}
+
+	switch {
+	case leaving && (t == nil || t.vacated()):
+		return http.StatusGone
+	case leaving:
+		t.depart("backend server leaves")
+	case t == nil && !a.closing.Load():
 		a.join(ctx, n)
 	}
 
-	w.WriteHeader(http.StatusNoContent)
+	return http.StatusNoContent
 }
 
 // ensureService writes the service's shape if it has none yet, and reports whether it is the
--- /dev/null
+++ b/agent/world_test.go
@@ -0,0 +1,479 @@
+package agent_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	spar "sardinespar.example/spar"
+	"sardinespar.example/spar/agent"
+	"sardinespar.example/spar/config"
+	"sardinespar.example/spar/fleet"
+	"sardinespar.example/spar/peers"
+	"sardinespar.example/spar/table"
+)
+
+const (
+	testSlots = 48
+	workTime  = 4 * time.Millisecond
+	tableTime = 2 * time.Millisecond
+	wireTime  = time.Millisecond
+)
+
+var services = []string{"cards", "pledges", "shelf"}
+
+var errRefused = errors.New("connection refused")
+
+// network joins dialers and listeners by address over net.Pipe.
+type network struct {
+	mu        sync.Mutex
+	listeners map[string]*listener
+}
+
+type listener struct {
+	network *network
+	addr    string
+	conns   chan net.Conn
+	closed  chan struct{}
+	once    sync.Once
+
+	mu   sync.Mutex
+	open []net.Conn
+}
+
+// wire delays each HTTP request by the time on the wire. A delay in the connections themselves would
+// stop virtual time, since jsonrpc2 and net/http write with a mutex held.
+type wire struct{ *http.Transport }
+
+func (w wire) RoundTrip(r *http.Request) (*http.Response, error) {
+	time.Sleep(wireTime)
+
+	return w.Transport.RoundTrip(r)
+}
+
+func (n *network) listen(addr string) *listener {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	l := &listener{network: n, addr: addr, conns: make(chan net.Conn), closed: make(chan struct{})}
+	n.listeners[addr] = l
+
+	return l
+}
+
+func (n *network) dial(ctx context.Context, addr string) (net.Conn, error) {
+	n.mu.Lock()
+	l := n.listeners[addr]
+	n.mu.Unlock()
+
+	if l == nil {
+		return nil, errRefused
+	}
+
+	near, far := net.Pipe()
+
+	select {
+	case l.conns <- far:
+		l.mu.Lock()
+		l.open = append(l.open, far)
+		l.mu.Unlock()
+
+		return near, nil
+	case <-l.closed:
+		return nil, errRefused
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (n *network) transport() *http.Transport {
+	return &http.Transport{
+		MaxIdleConnsPerHost: 64, DisableCompression: true,
+		DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) { return n.dial(ctx, addr) },
+	}
+}
+
+func (l *listener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *listener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+
+	return nil
+}
+
+// cut closes the listener and its connections, as the loss of the process does.
+func (l *listener) cut() {
+	_ = l.Close()
+
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	for _, c := range l.open {
+		_ = c.Close()
+	}
+}
+
+func (l *listener) Addr() net.Addr {
+	return &net.UnixAddr{Name: l.addr, Net: "pipe"}
+}
+
+// store is a table with faults that remembers who owned which slot at which epoch.
+type store struct {
+	*table.Memory
+
+	mu     sync.Mutex
+	out    bool
+	lose   int
+	owners map[string]spar.NodeID
+	moves  int
+}
+
+func (s *store) faulty() bool {
+	time.Sleep(tableTime)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.out
+}
+
+func (s *store) Get(ctx context.Context, key string) (spar.Row, bool, error) {
+	if s.faulty() {
+		return spar.Row{}, false, errRefused
+	}
+
+	return s.Memory.Get(ctx, key)
+}
+
+func (s *store) Scan(ctx context.Context, prefix string, since spar.Revision) ([]spar.Row, spar.Revision, error) {
+	if s.faulty() {
+		return nil, 0, errRefused
+	}
+
+	return s.Memory.Scan(ctx, prefix, since)
+}
+
+func (s *store) Commit(ctx context.Context, txn spar.Txn) spar.Commit {
+	if s.faulty() {
+		return spar.Commit{Verdict: spar.Unknown}
+	}
+
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	c := s.Memory.Commit(ctx, txn)
+	if c.Verdict != spar.Applied {
+		return c
+	}
+
+	moved := false
+
+	for _, w := range txn.Writes {
+		if !strings.HasPrefix(w.Key, fleet.PrefixMap) {
+			continue
+		}
+
+		var g spar.Segment
+
+		_ = json.Unmarshal(w.Value, &g)
+
+		for slot, a := range g.Slots {
+			id := fmt.Sprintf("%s/%d/%d", g.Service, slot, a.Epoch)
+			if s.owners[id] == "" && a.Epoch > 1 {
+				s.moves++
+				moved = true
+			}
+
+			s.owners[id] = a.Owner
+		}
+	}
+
+	if moved && s.lose > 0 {
+		s.lose--
+
+		return spar.Commit{Verdict: spar.Unknown}
+	}
+
+	return c
+}
+
+func (s *store) set(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	f()
+}
+
+// run is one run of a request on a backend server.
+type run struct {
+	path, vm, slot string
+	epoch          int64
+	start, end     time.Time
+}
+
+// held is a lease that is held until a test ends it.
+type held struct{ until *spar.Millis }
+
+func (h held) Until() spar.Millis      { return *h.until }
+func (h held) Run(ctx context.Context) { <-ctx.Done() }
+
+// node is a VM with its spard and backend server.
+type node struct {
+	world       *world
+	vm, service string
+	zone        spar.Zone
+	mode        spar.Mode
+	incarnation int
+	lease       spar.Millis
+	stop        context.CancelFunc
+	stopped     chan struct{}
+	peer, http  *listener
+	local       *listener
+
+	mu      sync.Mutex
+	back    *listener
+	server  *http.Server
+	state   string
+	answers []int
+	hung    chan struct{}
+}
+
+// world is a fleet with its table, network, callers and the log of what ran.
+type world struct {
+	t      *testing.T
+	net    *network
+	store  *store
+	nodes  []*node
+	client *http.Transport
+	pool   *peers.Pool
+	ctx    context.Context //nolint:containedctx // lifetime of the test's tasks
+	end    context.CancelFunc
+	wg     sync.WaitGroup
+
+	began    time.Time
+	dense    atomic.Bool
+	long     bool
+	deadline string
+
+	mu     sync.Mutex
+	runs   []run
+	worst  map[string]time.Duration
+	failed []string
+	late   []time.Duration
+	done   int
+}
+
+// newWorld starts a fleet of two keyed services and one that any upstream may serve.
+func newWorld(t *testing.T, sizes [3]int) *world {
+	n := &network{listeners: map[string]*listener{}}
+	w := &world{
+		t: t, net: n, store: &store{Memory: table.NewMemory(), owners: map[string]spar.NodeID{}},
+		client: n.transport(), pool: peers.NewPool(n.dial, &peers.Traffic{}), worst: map[string]time.Duration{},
+	}
+	w.ctx, w.end = context.WithCancel(t.Context())
+
+	for s, name := range services {
+		mode := spar.ModeKeyed
+		if name == "shelf" {
+			mode = spar.ModeAny
+		}
+
+		for i := range sizes[s] {
+			w.start(name, mode, spar.Zone("abc"[i%3:i%3+1]), fmt.Sprintf("%s-%d", name, i))
+		}
+	}
+
+	// The first node of a service owns all its slots until the others have got their shares in steps.
+	time.Sleep(12 * time.Second)
+	w.store.set(func() { w.store.moves = 0 })
+	w.began = time.Now()
+
+	return w
+}
+
+func (w *world) start(service string, mode spar.Mode, zone spar.Zone, vm string) {
+	n := &node{
+		world: w, vm: vm, service: service, mode: mode, zone: zone, lease: 1e12,
+		stopped: make(chan struct{}), state: agent.StateUp,
+	}
+	w.nodes = append(w.nodes, n)
+	n.http, n.peer, n.local = w.net.listen(vm+":1"), w.net.listen(vm+":2"), w.net.listen(vm+":3")
+
+	clock := spar.RuntimeClock()
+	a := agent.New(config.Settings{
+		VM: vm, Zone: zone, Region: "r", HTTPAddr: vm + ":1", PeerAddr: vm + ":2", MaxQueue: 100, EventCount: 1000,
+	}, agent.Deps{
+		Clock: clock, Wall: func() int64 { return time.Now().UnixMilli() }, Table: w.store, Dial: w.net.dial,
+		HTTP: wire{w.net.transport()}, Log: log.New(io.Discard),
+		Incarnation: n.incarnate,
+		Lease:       func(*fleet.Member) agent.Holder { return held{&n.lease} },
+	})
+
+	ctx, stop := context.WithCancel(w.ctx)
+	n.stop = stop
+
+	w.wg.Go(func() {
+		_ = a.Run(ctx, agent.Listeners{HTTP: n.http, Peer: n.peer, Local: n.local})
+		close(n.stopped)
+	})
+	n.startBackend()
+	w.wg.Go(n.loop)
+}
+
+func (n *node) incarnate() string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	n.incarnation++
+
+	return strconv.Itoa(n.incarnation)
+}
+
+// registrations counts the node ids that the VM has had.
+func (n *node) registrations() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	return n.incarnation
+}
+
+// startBackend starts a backend server that announces itself from then on.
+func (n *node) startBackend() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	n.back, n.server, n.state = n.world.net.listen(n.vm+":4"), &http.Server{Handler: n}, agent.StateUp
+	server, ln := n.server, n.back
+
+	n.world.wg.Go(func() { _ = server.Serve(ln) })
+}
+
+func (n *node) crashBackend() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	n.state = ""
+	n.back.cut()
+	_ = n.server.Close()
+}
+
+// hang stops the backend server's work and announcements until the function returned is called.
+func (n *node) hang() func() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	hung := make(chan struct{})
+	n.hung, n.state = hung, ""
+
+	return func() {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+
+		n.hung, n.state = nil, agent.StateUp
+
+		close(hung)
+	}
+}
+
+func (n *node) announce(state string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	n.state = state
+}
+
+// gone reports whether the backend server was told that it gets no more work.
+func (n *node) gone() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	return slices.Contains(n.answers, http.StatusGone)
+}
+
+// loop announces the backend server.
+func (n *node) loop() {
+	for n.world.ctx.Err() == nil {
+		n.mu.Lock()
+		state := n.state
+		n.mu.Unlock()
+
+		if state != "" {
+			n.put(state)
+		}
+
+		time.Sleep(500 * time.Millisecond)
+	}
+}
+
+func (n *node) put(state string) {
+	data, _ := json.Marshal(agent.Announcement{
+		Service: n.service, Mode: n.mode, SlotsOfService: testSlots, Addr: n.vm + ":4", Slots: 10, Conns: 130,
+		State: state,
+	})
+	req, _ := http.NewRequestWithContext(n.world.ctx, http.MethodPut, "http://"+n.vm+":3/announce",
+		strings.NewReader(string(data)))
+
+	if resp, err := n.world.client.RoundTrip(req); err == nil {
+		_ = resp.Body.Close()
+
+		n.mu.Lock()
+		n.answers = append(n.answers, resp.StatusCode)
+		n.mu.Unlock()
+	}
+}
+
+// ServeHTTP is the backend server.
+func (n *node) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
+	n.mu.Lock()
+	hung := n.hung
+	n.mu.Unlock()
+
+	// A server that was hung honors the deadlines of the requests that it finds afterwards.
+	if hung != nil {
+		arrived := time.Now()
+		ms, _ := strconv.Atoi(r.Header.Get(spar.HeaderDeadline))
+		<-hung
+
+		if time.Since(arrived) >= time.Duration(ms)*time.Millisecond {
+			return
+		}
+	}
+
+	epoch, _ := strconv.ParseInt(r.Header.Get(spar.HeaderEpoch), 10, 64)
+	done := run{path: r.URL.Path, vm: n.vm, slot: r.Header.Get(spar.HeaderSlot), epoch: epoch, start: time.Now()}
+
+	work := workTime
+	if strings.Contains(r.URL.Path, "/long") {
+		work = 2 * time.Second
+	}
+
+	time.Sleep(work)
+
+	done.end = time.Now()
+
+	n.world.mu.Lock()
+	n.world.runs = append(n.world.runs, done)
+	n.world.mu.Unlock()
+
+	rw.Header().Set(spar.HeaderRequest, r.Header.Get(spar.HeaderRequest))
+	_, _ = io.WriteString(rw, r.URL.Path)
+}
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -13,6 +13,10 @@
 	spread *Sync
 	writer *table.Writer
 
+	// updating makes changes one after the other; a second one from the same revision would be
+	// rejected, which looks as if the node had been marked lost.
+	updating chan struct{}
+
 	mu       sync.Mutex
 	node     spar.Node
 	revision spar.Revision
@@ -20,7 +24,9 @@
 
 // NewMember returns the member for a node that has no row yet.
 func NewMember(node spar.Node, s *Sync, t spar.Table, clock spar.Clock) *Member {
-	return &Member{node: node, spread: s, writer: table.NewWriter(t, clock, node.ID, "member")}
+	return &Member{
+		node: node, spread: s, writer: table.NewWriter(t, clock, node.ID, "member"), updating: make(chan struct{}, 1),
+	}
 }
 
 // Self returns the node as last committed and its row's revision, 0 before it is registered.
@@ -41,6 +47,13 @@
 // Update commits the row that change makes of the current one and spreads it. A rejection means
 // that another node marked this one lost.
 func (m *Member) Update(ctx context.Context, change func(spar.Node) spar.Node) spar.Commit {
+	select {
+	case m.updating <- struct{}{}:
+		defer func() { <-m.updating }()
+	case <-ctx.Done():
+		return spar.Commit{Verdict: spar.Unknown}
+	}
+
 	node, revision := m.Self()
 	next := change(node)
 	txn := spar.Txn{
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -27,6 +27,8 @@
 	limiter admit.Limiter
 	client  http.RoundTripper
 	clock   spar.Clock
+	gate    *Gate
+	health  health
 
 	backend atomic.Pointer[Backend]
 	closing atomic.Bool
@@ -38,11 +40,15 @@
 	self func() spar.NodeID, r *fleet.Replica, l spar.Lease, limiter admit.Limiter,
 	client http.RoundTripper, clock spar.Clock,
 ) *Guard {
-	return &Guard{self: self, replica: r, lease: l, limiter: limiter, client: client, clock: clock}
+	return &Guard{
+		self: self, replica: r, lease: l, limiter: limiter, client: client, clock: clock,
+		gate: NewGate(self, r, clock, NoRecords{}),
+	}
 }
 
 // Attach sets the backend server, or takes it away if b is nil.
 func (g *Guard) Attach(b *Backend) {
+	g.health.note(true, nil, 0)
 	g.backend.Store(b)
 }
 
@@ -68,7 +74,7 @@
 func (g *Guard) Serve(ctx context.Context, c spar.Call) spar.Answer {
 	g.flight.Add(1)
 
-	a := g.serve(ctx, c)
+	a := g.gated(ctx, c)
 	if a.Response == nil {
 		g.flight.Done()
 	} else {
--- a/guard/run.go
+++ b/guard/run.go
@@ -31,6 +31,8 @@
 	})
 
 	resp, err := g.client.RoundTrip(g.request(ctx, b, c, began))
+	g.health.note(sent.Load(), err, g.clock.Now())
+
 	if err != nil {
 		finish(false)
 
--- /dev/null
+++ b/plan/handover.go
@@ -0,0 +1,458 @@
+package plan
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"sync"
+	"sync/atomic"
+
+	spar "sardinespar.example/spar"
+	"sardinespar.example/spar/fleet"
+	"sardinespar.example/spar/guard"
+	"sardinespar.example/spar/peers"
+	"sardinespar.example/spar/table"
+)
+
+// The methods of planned moves.
+const (
+	MethodMove    = "slot.move"
+	MethodReceive = "slot.receive"
+)
+
+const (
+	// moveAnswerMost bounds the wait for the answer to slot.move; a move in doubt goes on after it.
+	moveAnswerMost spar.Millis = 3000
+	// probeTimeout bounds the read that shows that the table answers before a slot is held.
+	probeTimeout spar.Millis = 500
+	// drainMost bounds the wait for calls in flight. 99 of 100 end within 13 ms; a slot with a
+	// longer one is served on and tried again later.
+	drainMost spar.Millis = 500
+	// drainRefusing bounds it when the node takes no new calls, so that nothing is gained by an end.
+	drainRefusing  spar.Millis = 2000
+	receiveTimeout spar.Millis = 500
+	// commitMost bounds the time in which a rejected transaction is planned anew.
+	commitMost spar.Millis = 1000
+	// pushWait is how long held calls wait for the new map to reach the peers. One that lags sends
+	// a call here again, which costs it a round trip.
+	pushWait spar.Millis = 20
+)
+
+// MoveParams asks an owner to move slots.
+type MoveParams struct {
+	Service  string      `json:"service"`
+	Slots    []spar.Slot `json:"slots"`
+	Receiver spar.NodeID `json:"receiver"`
+}
+
+// MoveResult names the slots moved, the rows committed, and why the others did not move.
+type MoveResult struct {
+	Moved  []spar.Slot `json:"moved"`
+	Rows   []spar.Row  `json:"rows"`
+	Reason string      `json:"reason,omitempty"`
+}
+
+// Handed is one slot's records at the epoch at which the receiver is to own it.
+type Handed struct {
+	Slot    spar.Slot       `json:"slot"`
+	Epoch   spar.Epoch      `json:"epoch"`
+	Records json.RawMessage `json:"records"`
+}
+
+// ReceiveParams hands records to the receiver of a move.
+type ReceiveParams struct {
+	Service  string      `json:"service"`
+	From     spar.NodeID `json:"from"`
+	Receiver spar.NodeID `json:"receiver"`
+	Attempt  int64       `json:"attempt"`
+	Slots    []Handed    `json:"slots"`
+}
+
+// ReceiveResult tells whether the records are staged.
+type ReceiveResult struct {
+	Staged bool `json:"staged"`
+}
+
+// MoverDeps are what a mover works with.
+type MoverDeps struct {
+	Replica *fleet.Replica
+	Spread  *fleet.Sync
+	Table   spar.Table
+	Calls   peers.Caller
+	Gate    *guard.Gate
+	Clock   spar.Clock
+	Record  spar.Recorder
+}
+
+// Mover is the owner's and the receiver's side of planned moves of one registration.
+type Mover struct {
+	MoverDeps
+
+	self     spar.NodeID
+	writer   *table.Writer
+	jobs     chan *job
+	attempts atomic.Int64
+	// turn admits one transaction at a time: the writer waits without bound for one in doubt.
+	turn chan struct{}
+	wg   sync.WaitGroup
+}
+
+// NewMover returns the mover of a node.
+func NewMover(self spar.NodeID, d MoverDeps) *Mover {
+	return &Mover{
+		MoverDeps: d, self: self, writer: table.NewWriter(d.Table, d.Clock, self, "move"),
+		jobs: make(chan *job), turn: make(chan struct{}, 1),
+	}
+}
+
+// Run moves slots on request until ctx ends. A slot whose transaction is in doubt at that moment
+// stays held.
+func (m *Mover) Run(ctx context.Context) {
+	defer m.wg.Wait()
+
+	m.loop(ctx)
+}
+
+func (m *Mover) loop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case j := <-m.jobs:
+			m.wg.Go(func() { j.run(ctx) })
+		}
+	}
+}
+
+// Move serves slot.move. The move goes on when the answer is not awaited any more.
+func (m *Mover) Move(ctx context.Context, p MoveParams) (MoveResult, error) {
+	t := m.Clock.Timer(moveAnswerMost)
+	defer t.Stop()
+
+	j := &job{Mover: m, params: p, done: make(chan MoveResult, 1)}
+
+	select {
+	case m.jobs <- j:
+	case <-t.C:
+		return MoveResult{Reason: "owner has stopped"}, nil
+	case <-ctx.Done():
+		return MoveResult{}, ctx.Err()
+	}
+
+	select {
+	case r := <-j.done:
+		return r, nil
+	case <-t.C:
+		return MoveResult{Reason: "in doubt"}, nil
+	case <-ctx.Done():
+		return MoveResult{}, ctx.Err()
+	}
+}
+
+// Receive serves slot.receive.
+func (m *Mover) Receive(_ context.Context, p ReceiveParams) (ReceiveResult, error) {
+	n, ok := m.Replica.View().Node(m.self)
+	if p.Receiver != m.self || !ok || n.Value.State != spar.NodeLive {
+		return ReceiveResult{}, nil
+	}
+
+	for _, s := range p.Slots {
+		m.Gate.Stage(guard.Staged{
+			Service: p.Service, Slot: s.Slot, Epoch: s.Epoch, From: p.From, Attempt: p.Attempt, Data: s.Records,
+		})
+	}
+
+	return ReceiveResult{Staged: true}, nil
+}
+
+// job is one request to move slots.
+type job struct {
+	*Mover
+
+	params  MoveParams
+	service spar.Service
+	holds   map[spar.Slot]*guard.Hold
+	done    chan MoveResult
+}
+
+func (j *job) run(ctx context.Context) {
+	r := j.move(ctx)
+
+	for _, slot := range j.params.Slots {
+		kind, detail := spar.EventMoved, ""
+		if !slices.Contains(r.Moved, slot) {
+			kind, detail = spar.EventMoveFailed, r.Reason
+		}
+
+		epoch := j.Replica.View().Assignment(j.service, slot).Epoch
+		j.Record.Record(spar.Event{Kind: kind, Peer: j.params.Receiver, Detail: detail}.
+			WithSlot(j.params.Service, slot, epoch))
+	}
+
+	j.done <- r
+}
+
+// move holds the slots, hands their records over and commits their new owner.
+func (j *job) move(ctx context.Context) MoveResult {
+	service, ok := j.Replica.View().Service(j.params.Service)
+	if !ok || service.Mode != spar.ModeKeyed || slices.ContainsFunc(j.params.Slots, func(s spar.Slot) bool {
+		return s < 0 || int(s) >= service.Slots
+	}) {
+		j.params.Slots = nil
+
+		return MoveResult{Reason: "no such service or slot"}
+	}
+
+	j.service = service
+
+	if reason := j.probe(ctx); reason != "" {
+		return MoveResult{Reason: reason}
+	}
+
+	j.hold()
+	j.drain(ctx)
+
+	if len(j.holds) == 0 {
+		return MoveResult{Reason: "not owned, being moved, or busy"}
+	}
+
+	if !j.handOver(ctx) {
+		j.release()
+
+		return MoveResult{Reason: "receiver does not take the records"}
+	}
+
+	return j.commit(ctx)
+}
+
+// probe reads the receiver's row, which also shows that the table answers: a slot held when it does
+// not would stay in doubt.
+func (j *job) probe(ctx context.Context) string {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout.Duration())
+	defer cancel()
+
+	if !j.refresh(ctx, fleet.NodeKey(j.params.Receiver)) {
+		return "table does not answer"
+	}
+
+	if _, ok := j.receiver(); !ok {
+		return "receiver is not live"
+	}
+
+	return ""
+}
+
+func (j *job) refresh(ctx context.Context, key string) bool {
+	row, ok, err := j.Table.Get(ctx, key)
+	if ok && err == nil {
+		j.Replica.Merge([]spar.Row{row}, 0)
+	}
+
+	return err == nil
+}
+
+func (j *job) receiver() (fleet.Versioned[spar.Node], bool) {
+	v := j.Replica.View()
+	n, ok := v.Node(j.params.Receiver)
+
+	return n, ok && n.Value.State == spar.NodeLive && n.Value.ID != j.self && !v.Withdrawn(n.Value)
+}
+
+// hold stops admission for the slots that this node owns and that do not move already.
+func (j *job) hold() {
+	j.holds = map[spar.Slot]*guard.Hold{}
+
+	for _, slot := range j.params.Slots {
+		h, ok := j.Gate.Hold(j.params.Service, slot)
+		if !ok {
+			continue
+		}
+
+		a := j.Replica.View().Assignment(j.service, slot)
+		if a.Owner != j.self {
+			h.Release()
+
+			continue
+		}
+
+		j.holds[slot] = h
+		j.Record.Record(spar.Event{Kind: spar.EventMoveBegun, Peer: j.params.Receiver}.
+			WithSlot(j.params.Service, slot, a.Epoch))
+	}
+}
+
+// drain waits for the calls in flight, and gives up the slots where they take too long.
+func (j *job) drain(ctx context.Context) {
+	most := drainMost
+	if j.Gate.Refusing() {
+		most = drainRefusing
+	}
+
+	t := j.Clock.Timer(most)
+	defer t.Stop()
+
+	late := false
+
+	for slot, h := range j.holds {
+		if !late {
+			select {
+			case <-h.Idle():
+			case <-ctx.Done():
+				late = true
+			case <-t.C:
+				late = true
+			}
+		}
+
+		select {
+		case <-h.Idle():
+		default:
+			h.Release()
+			delete(j.holds, slot)
+		}
+	}
+}
+
+// handOver sends the records of the held slots to the receiver.
+func (j *job) handOver(ctx context.Context) bool {
+	n, _ := j.receiver()
+	p := ReceiveParams{
+		Service: j.params.Service, From: j.self, Receiver: j.params.Receiver, Attempt: j.attempts.Add(1),
+	}
+
+	for slot := range j.holds {
+		a := j.Replica.View().Assignment(j.service, slot)
+
+		data, ok := j.Gate.Export(j.params.Service, slot, a)
+		if !ok {
+			return false
+		}
+
+		p.Slots = append(p.Slots, Handed{Slot: slot, Epoch: a.Epoch + 1, Records: data})
+	}
+
+	ctx, cancel := context.WithTimeout(ctx, receiveTimeout.Duration())
+	defer cancel()
+
+	var r ReceiveResult
+
+	return j.Calls.Call(ctx, n.Value.PeerAddr, MethodReceive, p, &r) == nil && r.Staged
+}
+
+// commit writes the new owner. A rejection is definite, so the slots can be planned anew from the
+// row in conflict or served on; while the verdict is unknown they stay held.
+func (j *job) commit(ctx context.Context) MoveResult {
+	t := j.Clock.Timer(commitMost)
+	defer t.Stop()
+
+	select {
+	case j.turn <- struct{}{}:
+		defer func() { <-j.turn }()
+	case <-t.C:
+		j.release()
+
+		return MoveResult{Reason: "another move is in doubt"}
+	}
+
+	until := j.Clock.Now() + commitMost
+
+	for {
+		txn, reason := j.txn()
+		if reason != "" || j.Clock.Now() >= until {
+			j.release()
+
+			return MoveResult{Reason: "rejected: " + reason}
+		}
+
+		switch c := j.writer.Commit(ctx, txn); c.Verdict {
+		case spar.Applied:
+			return j.moved(ctx, fleet.RowsOf(txn, c.Revision))
+		case spar.Unknown:
+			return MoveResult{Reason: "in doubt"}
+		case spar.Rejected:
+			j.refresh(ctx, c.Conflict)
+		}
+	}
+}
+
+// txn returns the transaction of the move, or why it can't be made from the replica.
+func (j *job) txn() (spar.Txn, string) {
+	n, ok := j.receiver()
+	if !ok {
+		return spar.Txn{}, "receiver is not live"
+	}
+
+	txn := spar.Txn{Conditions: []spar.Condition{{Key: fleet.NodeKey(n.Value.ID), Revision: n.Revision}}}
+	v := j.Replica.View()
+
+	for i := range j.service.SegmentCount() {
+		g := v.Segment(j.service, i)
+		next := g.Value
+
+		for slot := range j.holds {
+			if int(slot)/spar.SegmentSize != i {
+				continue
+			}
+
+			a := g.Value.At(slot)
+			if a.Owner != j.self {
+				return spar.Txn{}, "slot has another owner"
+			}
+
+			next = next.With(slot, a.Moved(n.Value.ID))
+		}
+
+		if changed(g.Value, next) {
+			key := fleet.SegmentKey(j.service.Name, i)
+			txn.Conditions = append(txn.Conditions, spar.Condition{Key: key, Revision: g.Revision})
+			txn.Writes = append(txn.Writes, spar.Write{Key: key, Value: fleet.Encode(next)})
+		}
+	}
+
+	return txn, ""
+}
+
+// moved spreads the new map and then lets the held calls go.
+func (j *job) moved(ctx context.Context, rows []spar.Row) MoveResult {
+	j.Replica.Merge(rows, 0)
+
+	r := MoveResult{Rows: rows}
+	pushed := &push{job: j, rows: rows, done: make(chan struct{})}
+	j.wg.Go(func() { pushed.run(ctx) })
+
+	t := j.Clock.Timer(pushWait)
+	defer t.Stop()
+
+	select {
+	case <-pushed.done:
+	case <-t.C:
+	}
+
+	for slot := range j.holds {
+		j.Gate.Drop(j.params.Service, slot)
+		r.Moved = append(r.Moved, slot)
+	}
+
+	j.release()
+
+	return r
+}
+
+func (j *job) release() {
+	for _, h := range j.holds {
+		h.Release()
+	}
+}
+
+// push sends rows to all peers.
+type push struct {
+	*job
+
+	rows []spar.Row
+	done chan struct{}
+}
+
+func (p *push) run(ctx context.Context) {
+	p.Spread.Push(ctx, p.self, p.rows)
+	close(p.done)
+}
--- a/plan/takeover.go
+++ b/plan/takeover.go
@@ -79,7 +79,8 @@
 	return false
 }
 
-// Bearers returns the live nodes of a service that may receive slots, without one of them.
+// Bearers returns the nodes of a service that may receive slots, without one of them: those that are
+// live and not withdrawn.
 func Bearers(v *fleet.View, s spar.Service, without spar.NodeID) []slots.Bearer {
 	segments := make([]spar.Segment, 0, s.SegmentCount())
 	for i := range s.SegmentCount() {
@@ -91,7 +92,7 @@
 	var bearers []slots.Bearer
 
 	for _, n := range v.NodesOf(s.Name) {
-		if n.State == spar.NodeLive && n.ID != without {
+		if n.State == spar.NodeLive && n.ID != without && !v.Withdrawn(n) {
 			bearers = append(bearers, slots.Bearer{
 				ID: n.ID, Weight: float64(max(1, n.Capacity.Slots)), Owned: owned[n.ID],
 			})
--- a/route/handler.go
+++ b/route/handler.go
@@ -119,7 +119,7 @@
 	var nodes []spar.Node
 
 	for _, n := range v.NodesOf(c.Service.Name) {
-		if n.State == spar.NodeLive {
+		if n.State == spar.NodeLive && !v.Withdrawn(n) {
 			nodes = append(nodes, n)
 		}
 	}
