--- a/agent/agent.go
+++ b/agent/agent.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -30,6 +31,8 @@
 	HTTP        http.RoundTripper
 	Log         *log.Logger
 	Incarnation func() string
+	// Lease returns the lease holder of a registration; nil stands for the table lease.
+	Lease func(*fleet.Member) Holder
 }
 
 // Listeners are the three listeners of a node.
@@ -40,9 +43,10 @@
 }
 
 const (
-	drainTimeout   spar.Millis = 30_000
-	headerTimeout              = 10 * time.Second
-	maxHeaderBytes             = 64 << 10
+	// drainTimeout is the longest deadline of a request, so that a shutdown cuts none.
+	drainTimeout   = route.DeadlineMost
+	headerTimeout  = 10 * time.Second
+	maxHeaderBytes = 64 << 10
 )
 
 // Agent is one spard.
@@ -61,9 +65,11 @@
 	joined  *Registrar
 	ops     operators
 
-	mu   sync.Mutex
-	stop context.CancelFunc
-	wg   sync.WaitGroup
+	closing atomic.Bool
+
+	mu     sync.Mutex
+	tenure *tenure
+	wg     sync.WaitGroup
 }
 
 // New returns an agent that is not running.
@@ -75,7 +81,7 @@
 	a.spread = fleet.NewSync(a.replica, deps.Table, a.pool, deps.Clock, a.ring)
 	a.joined = NewRegistrar(Ownership{
 		Clock: deps.Clock, Table: deps.Table, Calls: a.pool, Replica: a.replica, Spread: a.spread, Record: a.ring,
-		Incarnation: deps.Incarnation, Lease: cfg.Lease, Registered: a.ring.Named, Started: a.registered,
+		Incarnation: deps.Incarnation, Lease: cfg.Lease, Registered: a.ring.Named, Holder: deps.Lease,
 	})
 	a.limiter = newLimiter(cfg, deps.Clock, a.ring)
 	a.guard = guard.New(a.joined.ID, a.replica, a.joined, a.limiter, deps.HTTP, deps.Clock)
@@ -93,13 +99,14 @@
 	mux := peers.NewMux()
 	a.spread.Register(mux)
 	a.joined.Register(mux)
+	a.register(mux)
 	a.ops.service.Register(mux)
 
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 
 	server := peers.NewServer(mux, a.traffic).Stamped(a.ring)
-	public := a.serveHTTP(ln.HTTP, a.ops.entry(a.handler))
+	public := a.serveHTTP(ln.HTTP, a.ops.entry(http.HandlerFunc(a.serve)))
 	local := a.serveHTTP(ln.Local, a.localMux(background))
 
 	a.wg.Go(func() { a.spread.Run(background) })
@@ -131,6 +138,16 @@
 	return s
 }
 
+// serve answers callers and nodes. While the node shuts down, each answer asks the other side to
+// close its connection: a request sent on one that is being closed may be lost.
+func (a *Agent) serve(w http.ResponseWriter, r *http.Request) {
+	if a.closing.Load() {
+		w.Header().Set("Connection", "close")
+	}
+
+	a.handler.ServeHTTP(w, r)
+}
+
 // shutdown leaves the fleet, lets the calls in flight end, and closes the listeners.
 func (a *Agent) shutdown(ctx context.Context, servers ...*http.Server) error {
 	a.deps.Log.Info("draining")
@@ -138,6 +155,7 @@
 	ctx, cancel := context.WithTimeout(ctx, drainTimeout.Duration())
 	defer cancel()
 
+	a.closing.Store(true)
 	a.leave(ctx)
 	a.guard.Drain(ctx)
 
@@ -151,49 +169,3 @@
 
 	return nil
 }
-
-// join registers the node and keeps it registered.
-func (a *Agent) join(ctx context.Context, n Announcement) {
-	node := spar.Node{
-		VM: a.cfg.VM, Service: n.Service,
-		Zone: a.cfg.Zone, Region: a.cfg.Region, HTTPAddr: a.cfg.AdvertiseHTTP, PeerAddr: a.cfg.AdvertisePeer,
-		Capacity:     spar.Capacity{Slots: n.Slots, Conns: n.Conns},
-		ChecksGrants: n.ChecksGrants,
-	}
-
-	ctx, a.stop = context.WithCancel(ctx)
-	a.limiter.Reset(node.Capacity)
-	a.guard.Attach(&guard.Backend{Addr: n.Addr, ChecksGrants: n.ChecksGrants})
-	a.wg.Go(func() { a.run(ctx, node, n.shape()) })
-}
-
-// run keeps the node registered until ctx ends.
-func (a *Agent) run(ctx context.Context, node spar.Node, shape spar.Service) {
-	if err := a.joined.Run(ctx, node, shape); err != nil {
-		a.deps.Log.Error("not registered", "vm", node.VM, "err", err)
-	}
-}
-
-// registered notes a new registration, of which the given member is the row.
-func (a *Agent) registered(ctx context.Context, m *fleet.Member) {
-	node, _ := m.Self()
-	a.ops.registered(ctx, a, m)
-	a.deps.Log.Info("registered", "node", node.ID, "service", node.Service)
-}
-
-// leave marks the node as leaving by its own transaction.
-func (a *Agent) leave(ctx context.Context) {
-	a.mu.Lock()
-	stop := a.stop
-	a.mu.Unlock()
-
-	member := a.joined.Member()
-	if stop == nil || member == nil {
-		return
-	}
-
-	stop()
-	a.ring.Record(spar.Event{Kind: spar.EventLeaving})
-	member.Update(ctx, func(n spar.Node) spar.Node { return n.WithState(spar.NodeLeaving) })
-	member.Announce(ctx)
-}
--- a/agent/registrar.go
+++ b/agent/registrar.go
@@ -31,8 +31,14 @@
 	Flaws flaw.Set
 	// Registered is called with each new node id before its row is sent, if it is set.
 	Registered func(spar.NodeID)
-	// Started is a task of each registration once its row is in the table, if it is set.
-	Started func(context.Context, *fleet.Member)
+	// Holder replaces the lease policy in tests: it returns the lease holder of a registration.
+	Holder func(*fleet.Member) Holder
+}
+
+// Holder holds the lease of a registration while it runs.
+type Holder interface {
+	spar.Lease
+	Run(ctx context.Context)
 }
 
 // Registrar keeps a node registered, with its lease, witness, takeover of others and planner. When
@@ -112,7 +118,6 @@
 	}
 
 	for ctx.Err() == nil {
-		node.ID = spar.NodeID(node.VM + "." + r.Incarnation())
 		r.session(ctx, node)
 		r.Clock.Sleep(ctx, registerPause)
 	}
@@ -125,6 +130,30 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 
+	member := r.begin(node)
+
+	tasks := r.enter(ctx, member)
+	if tasks == nil {
+		return
+	}
+
+	var wg sync.WaitGroup
+	defer wg.Wait()
+
+	for _, run := range tasks {
+		wg.Go(func() { run(ctx) })
+	}
+
+	select {
+	case <-ctx.Done():
+	case <-member.Lost():
+		cancel()
+	}
+}
+
+// begin gives the node a new id and returns the owner of its row, which is not in the table yet.
+func (r *Registrar) begin(node spar.Node) *fleet.Member {
+	node.ID = spar.NodeID(node.VM + "." + r.Incarnation())
 	member := fleet.NewMember(node, r.Spread, r.Table, r.Clock)
 
 	r.mu.Lock()
@@ -135,39 +164,38 @@
 		r.Registered(node.ID)
 	}
 
+	return member
+}
+
+// end forgets the registration; the node has no id until the next one.
+func (r *Registrar) end() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	r.member, r.lease, r.taker = nil, nil, nil
+}
+
+// enter writes the node's row and returns the tasks that run while it is registered, or none if
+// the row could not be written.
+func (r *Registrar) enter(ctx context.Context, m *fleet.Member) []func(context.Context) {
 	var tasks []func(context.Context)
 
-	if r.Lease == config.LeaseTable {
-		tasks = r.tableLease(ctx, member)
+	if r.Holder != nil || r.Lease == config.LeaseTable {
+		tasks = r.tableLease(ctx, m)
 	} else {
-		tasks = r.witnessLease(ctx, member)
+		tasks = r.witnessLease(ctx, m)
 	}
 
 	if tasks == nil {
-		return
+		return nil
 	}
 
+	node, _ := m.Self()
 	r.Record.Record(spar.Event{Kind: spar.EventRegistered, Node: node.ID, Service: node.Service})
 
 	planner := plan.NewPlanner(node.ID, r.Replica, r.Spread, r.Table, r.Clock, r.Record)
-	tasks = append(tasks, planner.Run, member.Announce)
-
-	if r.Started != nil {
-		tasks = append(tasks, func(ctx context.Context) { r.Started(ctx, member) })
-	}
-
-	var wg sync.WaitGroup
-	defer wg.Wait()
 
-	for _, run := range tasks {
-		wg.Go(func() { run(ctx) })
-	}
-
-	select {
-	case <-ctx.Done():
-	case <-member.Lost():
-		cancel()
-	}
+	return append(tasks, planner.Run, m.Announce)
 }
 
 // tableLease registers the node as live and returns the tasks of the table-lease baseline.
@@ -177,7 +205,11 @@
 		return nil
 	}
 
-	holder := lease.NewTableHolder(m, r.Clock)
+	var holder Holder = lease.NewTableHolder(m, r.Clock)
+	if r.Holder != nil {
+		holder = r.Holder(m)
+	}
+
 	r.set(holder, nil)
 
 	return []func(context.Context){holder.Run}
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -15,6 +15,10 @@
 	turn   chan struct{}
 	lost   chan struct{}
 
+	// updating makes changes one after the other; a second one from the same revision would be
+	// rejected, which looks as if the node had been marked lost.
+	updating chan struct{}
+
 	mu       sync.Mutex
 	node     spar.Node
 	revision spar.Revision
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -28,6 +28,8 @@
 	client  http.RoundTripper
 	clock   spar.Clock
 	sharer  *sharer
+	gate    *Gate
+	health  health
 
 	backend atomic.Pointer[Backend]
 	closing atomic.Bool
@@ -40,7 +42,8 @@
 	client http.RoundTripper, clock spar.Clock,
 ) *Guard {
 	return &Guard{
-		self: self, replica: r, lease: l, limiter: limiter, client: client, clock: clock, sharer: newSharer(clock, 0),
+		self: self, replica: r, lease: l, limiter: limiter, client: client, clock: clock,
+		gate: NewGate(self, r, clock, NoRecords{}), sharer: newSharer(clock, 0),
 	}
 }
 
@@ -52,6 +55,7 @@
 
 // Attach sets the backend server, or takes it away if b is nil.
 func (g *Guard) Attach(b *Backend) {
+	g.health.note(true, nil, 0)
 	g.backend.Store(b)
 }
 
@@ -77,7 +81,7 @@
 func (g *Guard) Serve(ctx context.Context, c spar.Call) spar.Answer {
 	g.flight.Add(1)
 
-	a := g.serve(ctx, c)
+	a := g.gated(ctx, c)
 	if a.Response == nil {
 		g.flight.Done()
 	} else {
--- a/plan/takeover.go
+++ b/plan/takeover.go
@@ -99,7 +99,8 @@
 	return txn
 }
 
-// Bearers returns the live nodes of a service that may receive slots, without one of them.
+// Bearers returns the nodes of a service that may receive slots, without one of them: those that are
+// live and not withdrawn.
 func Bearers(v *fleet.View, s spar.Service, without spar.NodeID) []slots.Bearer {
 	return bearersOf(v, s, map[spar.NodeID]bool{without: true})
 }
