Pull from a former owner when an entry node's map is stale

A spard whose backend server is gone has no registration, so nobody pushes rows to it; its own scans come 0.2 s times the number of nodes apart.

An entry node that is refused twice by a node which does not own the slot now pulls the rows from it.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"net"
 	"net/http"
 	"sync"
@@ -87,6 +88,7 @@
 	a.limiter = admit.NewFixed(deps.Clock, cfg.MaxQueue)
 	a.guard = guard.New(a.id, a.replica, a.lease, a.limiter, deps.HTTP, deps.Clock)
 	a.handler = route.New(a.id, a.replica, a.guard, deps.HTTP, pick.NewRobin(), deps.Clock)
+	a.handler.PullWith(func(ctx context.Context, addr string) { a.spread.Behind(ctx, addr, math.MaxInt64) })
 
 	return a
 }
--- a/agent/move_test.go
+++ b/agent/move_test.go
@@ -210,6 +210,20 @@
 			c.Check(len(w.failedAfter(0)) <= 36, quicktest.IsTrue)
 		},
 	},
+	{
+		name: "an entry node has no backend server", excused: "^unknown", keys: 12, pause: 250 * time.Millisecond,
+		do: func(c *quicktest.C, w *world) {
+			w.node("shelf-0").crashBackend()
+			time.Sleep(5 * time.Second)
+
+			for _, out := range []bool{true, false, true} {
+				w.withdraw("b", out)
+				time.Sleep(4 * time.Second)
+			}
+
+			c.Check(w.owned(inZone("b")), quicktest.Equals, 0)
+		},
+	},
 	{
 		name: "a backend server hangs", excused: "^(unknown|not_run)", keys: 12, pause: 250 * time.Millisecond,
 		do: func(c *quicktest.C, w *world) {
--- a/route/handler.go
+++ b/route/handler.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 
 	spar "sardinespar.example/spar"
@@ -34,6 +35,7 @@
 	client  http.RoundTripper
 	picker  pick.Picker
 	clock   spar.Clock
+	pull    func(ctx context.Context, addr string)
 }
 
 // New returns the handler of one node.
@@ -44,6 +46,12 @@
 	return &Handler{self: self, replica: r, local: local, client: client, picker: picker, clock: clock}
 }
 
+// PullWith sets the function that brings the replica up to date from the node at a peer address. It
+// must be set before the handler serves.
+func (h *Handler) PullWith(f func(ctx context.Context, addr string)) {
+	h.pull = f
+}
+
 // ServeHTTP answers a caller, or another node if the request has the hop header.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c, refusal, ok := Parse(h.replica.View(), r, h.clock.Now())
@@ -75,6 +83,7 @@
 		n, a, ok := h.target(c, tried)
 		if ok {
 			a = h.attempt(ctx, n, c)
+			h.learn(ctx, n, a, tried)
 			tried = append(tried, n.ID)
 		}
 
@@ -90,6 +99,15 @@
 	}
 }
 
+// learn pulls from a node that has refused the call twice because it does not own the slot any more: a
+// node without a registration gets no pushes, and its own scans are too far apart to wait for.
+func (h *Handler) learn(ctx context.Context, n spar.Node, a spar.Answer, tried []spar.NodeID) {
+	moved := a.Reason == spar.ReasonMoved || a.Reason == spar.ReasonNotOwner
+	if moved && h.pull != nil && n.ID != h.self() && slices.Contains(tried, n.ID) {
+		h.pull(ctx, n.PeerAddr)
+	}
+}
+
 func again(a spar.Answer) bool {
 	return a.Reason.Retryable() || a.Reason == spar.ReasonNoOwner
 }
