--- a/agent/caller_test.go
+++ b/agent/caller_test.go
@@ -139,13 +139,17 @@
 	}
 }
 
-// withdraw writes an operator's decision on a zone and sends it to all nodes.
+// withdraw takes a zone out or puts it back.
 func (w *world) withdraw(zone spar.Zone, out bool) {
-	key := fleet.ZoneKey(zone)
+	w.decide(fleet.ZoneKey(zone), out)
+}
+
+// decide writes an operator's decision and sends it to all nodes.
+func (w *world) decide(key string, out bool) {
 	row, _, _ := w.store.Memory.Get(w.ctx, key)
 	txn := spar.Txn{
 		Conditions: []spar.Condition{{Key: key, Revision: row.Revision}},
-		Writes:     []spar.Write{{Key: key, Value: fleet.Encode(spar.Withdrawal{Name: string(zone), Out: out})}},
+		Writes:     []spar.Write{{Key: key, Value: fleet.Encode(spar.Withdrawal{Name: key, Out: out})}},
 	}
 	w.push(fleet.RowsOf(txn, w.store.Memory.Commit(w.ctx, txn).Revision))
 }
--- a/agent/move_test.go
+++ b/agent/move_test.go
@@ -99,6 +99,21 @@
 		time.Sleep(10 * time.Second)
 		c.Check(w.owned(inZone("a")) >= before-4, quicktest.IsTrue)
 	}},
+	{name: "backend servers are withdrawn and put back", do: func(c *quicktest.C, w *world) {
+		withdrawn := func(n *node) bool { return n.vm == "cards-1" || n.vm == "shelf-1" }
+
+		w.decide(fleet.ServerKey("cards-1"), true)
+		w.decide(fleet.ServerKey("shelf-1"), true)
+		time.Sleep(3 * time.Second)
+		c.Check(w.owned(withdrawn), quicktest.Equals, 0)
+		c.Check(w.ranSince(withdrawn, 2*time.Second), quicktest.Equals, 0)
+		w.decide(fleet.ServerKey("cards-1"), false)
+		w.decide(fleet.ServerKey("shelf-1"), false)
+		time.Sleep(10 * time.Second)
+		c.Check(w.owned(withdrawn) >= 14, quicktest.IsTrue)
+		c.Check(w.ranSince(named("shelf-1"), 2*time.Second) > 0, quicktest.IsTrue)
+		c.Check(w.node("cards-1").registrations(), quicktest.Equals, 1)
+	}},
 	{name: "replies of the table are lost", do: func(c *quicktest.C, w *world) {
 		w.store.set(func() { w.store.lose = 3 })
 		w.withdraw("b", true)
@@ -195,6 +210,29 @@
 			c.Check(w.owned(inZone("a")), quicktest.Equals, 0)
 		},
 	},
+	{
+		name: "backend servers leave while the table is out", excused: "^not_run", keys: 16, pause: 400 * time.Millisecond,
+		do: func(c *quicktest.C, w *world) {
+			w.store.set(func() { w.store.out = true })
+
+			for _, n := range []*node{w.node("cards-1"), w.node("shelf-1")} {
+				n.announce("leaving")
+			}
+
+			time.Sleep(5 * time.Second)
+
+			for _, n := range []*node{w.node("cards-1"), w.node("shelf-1")} {
+				c.Check(n.gone(), quicktest.IsTrue)
+				c.Check(w.ranSince(named(n.vm), time.Second), quicktest.Equals, 0)
+				n.crashBackend()
+			}
+
+			time.Sleep(10 * time.Second)
+			w.store.set(func() { w.store.out = false })
+			time.Sleep(5 * time.Second)
+			c.Check(w.owned(named("cards-1")), quicktest.Equals, 0)
+		},
+	},
 	{
 		name: "backend servers crash", excused: "^unknown", keys: 12, pause: 250 * time.Millisecond,
 		do: func(c *quicktest.C, w *world) {
--- /dev/null
+++ b/plan/commit.go
@@ -0,0 +1,146 @@
+package plan
+
+import (
+	"context"
+
+	spar "sardinespar.example/spar"
+	"sardinespar.example/spar/fleet"
+)
+
+// commit writes the new owner. A rejection is definite, so the slots can be planned anew from the
+// row in conflict or served on; while the verdict is unknown they stay held.
+func (j *job) commit(ctx context.Context) MoveResult {
+	t := j.Clock.Timer(commitMost)
+	defer t.Stop()
+
+	select {
+	case j.turn <- struct{}{}:
+		defer func() { <-j.turn }()
+	case <-t.C:
+		j.release()
+
+		return MoveResult{Reason: "another move is in doubt"}
+	}
+
+	until := j.Clock.Now() + commitMost
+
+	for {
+		txn, reason := j.txn()
+		if reason != "" || j.Clock.Now() >= until {
+			j.release()
+
+			return MoveResult{Reason: "rejected: " + reason}
+		}
+
+		switch c := j.writer.Commit(ctx, txn); c.Verdict {
+		case spar.Applied:
+			return j.moved(ctx, fleet.RowsOf(txn, c.Revision))
+		case spar.Unknown:
+			return MoveResult{Reason: "in doubt"}
+		case spar.Rejected:
+			j.refresh(ctx, c.Conflict)
+		}
+	}
+}
+
+// txn returns the transaction of the move, or why it can't be made from the replica.
+func (j *job) txn() (spar.Txn, string) {
+	n, ok := j.receiver()
+	if !ok {
+		return spar.Txn{}, "receiver is not live"
+	}
+
+	txn := spar.Txn{Conditions: []spar.Condition{{Key: fleet.NodeKey(n.Value.ID), Revision: n.Revision}}}
+	v := j.Replica.View()
+
+	for i := range j.service.SegmentCount() {
+		g := v.Segment(j.service, i)
+		next := g.Value
+
+		for slot := range j.holds {
+			if int(slot)/spar.SegmentSize != i {
+				continue
+			}
+
+			a := g.Value.At(slot)
+			if a.Owner != j.self {
+				return spar.Txn{}, "slot has another owner"
+			}
+
+			next = next.With(slot, a.Moved(n.Value.ID))
+		}
+
+		if changed(g.Value, next) {
+			key := fleet.SegmentKey(j.service.Name, i)
+			txn.Conditions = append(txn.Conditions, spar.Condition{Key: key, Revision: g.Revision})
+			txn.Writes = append(txn.Writes, spar.Write{Key: key, Value: fleet.Encode(next)})
+		}
+	}
+
+	return txn, ""
+}
+
+// moved spreads the new map and then lets the held calls go.
+func (j *job) moved(ctx context.Context, rows []spar.Row) MoveResult {
+	j.Replica.Merge(rows, 0)
+
+	r := MoveResult{Rows: rows}
+	pushed := &push{job: j, rows: rows, done: make(chan struct{})}
+	j.wg.Go(func() { pushed.run(ctx) })
+
+	t := j.Clock.Timer(pushWait)
+	defer t.Stop()
+
+	select {
+	case <-pushed.done:
+	case <-t.C:
+	}
+
+	for slot := range j.holds {
+		j.Gate.Drop(j.params.Service, slot)
+		r.Moved = append(r.Moved, slot)
+	}
+
+	j.release()
+
+	return r
+}
+
+func (j *job) release() {
+	for _, h := range j.holds {
+		h.Release()
+	}
+}
+
+// push sends rows to all peers, and to the receiver until it has them.
+type push struct {
+	*job
+
+	rows []spar.Row
+	done chan struct{}
+}
+
+func (p *push) run(ctx context.Context) {
+	p.Spread.Push(ctx, p.self, p.rows)
+	close(p.done)
+
+	for range tellAgain {
+		if p.tell(ctx) || !p.Clock.Sleep(ctx, tellPause) {
+			return
+		}
+	}
+}
+
+func (p *push) tell(ctx context.Context) bool {
+	n, ok := p.receiver()
+	if !ok {
+		return true
+	}
+
+	ctx, cancel := context.WithTimeout(ctx, receiveTimeout.Duration())
+	defer cancel()
+
+	var r fleet.Empty
+
+	return p.Calls.Call(ctx, n.Value.PeerAddr, fleet.MethodPush, fleet.PushParams{From: p.self, Rows: p.rows}, &r) == nil
+}
