--- a/agent/agent.go
+++ b/agent/agent.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"net"
 	"net/http"
 	"sync"
@@ -88,6 +89,7 @@
 	a.guard.ShareReads(cfg.ShareBytes)
 	picker := newPicker(cfg, deps.Clock, a.ring)
 	a.handler = route.New(a.joined.ID, a.replica, a.guard, a.ops.sender(deps.HTTP), picker, deps.Clock)
+	a.handler.PullWith(func(ctx context.Context, addr string) { a.spread.Behind(ctx, addr, math.MaxInt64) })
 	a.handler.Use(newPolicy(cfg, deps.Clock))
 	a.ops.serve(a)
 
--- a/agent/tenure.go
+++ b/agent/tenure.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"sync/atomic"
@@ -53,7 +54,7 @@
 func (a *Agent) join(ctx context.Context, n Announcement) {
 	node := spar.Node{
 		VM: a.cfg.VM, Service: n.Service,
-		Zone: a.cfg.Zone, Region: a.cfg.Region, HTTPAddr: a.cfg.AdvertiseHTTP, PeerAddr: a.cfg.AdvertisePeer,
+		Zone: a.cfg.Zone, Region: a.cfg.Region, HTTPAddr: cmp.Or(a.cfg.AdvertiseHTTP, a.cfg.HTTPAddr), PeerAddr: cmp.Or(a.cfg.AdvertisePeer, a.cfg.PeerAddr),
 		Capacity:     spar.Capacity{Slots: n.Slots, Conns: n.Conns},
 		ChecksGrants: n.ChecksGrants,
 	}
--- a/route/handler.go
+++ b/route/handler.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 
 	spar "sardinespar.example/spar"
@@ -16,6 +17,9 @@
 	ownerWait spar.Millis = 3000
 	// retryPause is the wait before a call is sent again when nothing changed in between.
 	retryPause spar.Millis = 20
+	// retryMargin is left before the deadline: an attempt that can't be answered in time would turn a
+	// call that was not run into one whose outcome is unknown.
+	retryMargin spar.Millis = 50
 )
 
 // Server runs a call on the backend server beside this node.
@@ -32,6 +36,7 @@
 	picker  pick.Picker
 	clock   spar.Clock
 	policy  *Policy
+	pull    func(ctx context.Context, addr string)
 }
 
 // New returns the handler of one node.
@@ -42,6 +47,12 @@
 	return &Handler{self: self, replica: r, local: local, client: client, picker: picker, clock: clock}
 }
 
+// PullWith sets the function that brings the replica up to date from the node at a peer address. It
+// must be set before the handler serves.
+func (h *Handler) PullWith(f func(ctx context.Context, addr string)) {
+	h.pull = f
+}
+
 // ServeHTTP answers a caller, or another node if the request has the hop header.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c, refusal, ok := Parse(h.replica.View(), r, h.clock.Now())
@@ -63,7 +74,7 @@
 
 // send sends the call until it was run, was refused for good, or its time is over.
 func (h *Handler) send(ctx context.Context, c spar.Call) (spar.Answer, int) {
-	patience := min(c.Deadline, h.clock.Now()+ownerWait)
+	patience := min(c.Deadline-retryMargin, h.clock.Now()+ownerWait)
 
 	var (
 		tried  []spar.NodeID
@@ -97,6 +108,15 @@
 	}
 }
 
+// learn pulls from a node that has refused the call twice because it does not own the slot any more: a
+// node without a registration gets no pushes, and its own scans are too far apart to wait for.
+func (h *Handler) learn(ctx context.Context, n spar.Node, a spar.Answer, tried []spar.NodeID) {
+	moved := a.Reason == spar.ReasonMoved || a.Reason == spar.ReasonNotOwner
+	if moved && h.pull != nil && n.ID != h.self() && slices.Contains(tried, n.ID) {
+		h.pull(ctx, n.PeerAddr)
+	}
+}
+
 func again(a spar.Answer) bool {
 	return a.Reason.Retryable() || a.Reason == spar.ReasonNoOwner
 }
--- a/route/hedge.go
+++ b/route/hedge.go
@@ -52,10 +52,14 @@
 		return none, tried
 	}
 
+	before := tried
 	tried = append(tried, n.ID)
 
 	if h.policy == nil || h.policy.NewHedger == nil || !c.Idempotent || c.Service.Mode != spar.ModeAny {
-		return h.attempt(ctx, n, c), tried
+		a := h.attempt(ctx, n, c)
+		h.learn(ctx, n, a, before)
+
+		return a, tried
 	}
 
 	r := hedged{handler: h, call: c, first: n, tried: tried}
