--- a/cmd/sparctl/shell/app.go
+++ b/cmd/sparctl/shell/app.go
@@ -64,21 +64,20 @@
 func Run(ctx context.Context, args []string, out, errs io.Writer, dial peers.Dialer) int {
 	a := &app{out: out, errs: errs, dial: dial, commands: map[string]command{}}
 	k := kingpin.New("sparctl", about)
-	exited := -1
 
 	k.Version("sparctl " + version)
 	k.HelpFlag.Short('h')
 	k.UsageWriter(out)
 	k.ErrorWriter(errs)
-	k.Terminate(func(status int) { exited = max(exited, status) })
+	k.Terminate(func(status int) { panic(ended(status)) })
 
 	k.Flag("node", "Peer address of a node as IP:PORT; given several times, the nodes are tried in turn.").
 		Short('n').Envar("SPAR_NODES").StringsVar(&a.nodes)
 	k.Flag("json", "Print JSON instead of text.").BoolVar(&a.asJSON)
 	k.Flag("timeout", "How long to wait for a result, as in 15s.").Default("15s").DurationVar(&a.timeout)
 	k.Flag("by", "Your name, kept with every change.").Default(os.Getenv("USER")).StringVar(&a.by)
-	k.Flag("op", "Operation id of an earlier run, to learn its result or to go on with it.").
-		Default(strings.ToLower(rand.Text())).StringVar(&a.op)
+	k.Flag("op", "Operation id of an earlier run, to learn its result or to go on with it; without it, a new one.").
+		StringVar(&a.op)
 
 	a.statusCommands(k)
 	a.presetCommands(k)
@@ -87,15 +86,17 @@
 	a.quarantineCommands(k)
 	a.settingsCommands(k)
 
-	name, err := k.Parse(args)
-	if exited >= 0 {
-		return exited
-	}
+	name, status, err := parse(k, args)
 
-	if err != nil {
+	switch {
+	case status >= 0:
+		return status
+	case err != nil:
 		_, _ = fmt.Fprintf(errs, "sparctl: %v; see sparctl --help\n", err)
 
 		return ExitUsage
+	case a.op == "":
+		a.op = strings.ToLower(rand.Text())
 	}
 
 	if err := a.do(ctx, a.commands[name]); err != nil {
@@ -107,6 +108,28 @@
 	return ExitOK
 }
 
+// ended is the status with which kingpin ends the process after --help, --version and the like.
+type ended int
+
+// parse returns the command, or the status if the arguments only asked for help or the like.
+func parse(k *kingpin.Application, args []string) (name string, status int, err error) {
+	status = -1
+
+	defer func() {
+		switch r := recover().(type) {
+		case nil:
+		case ended:
+			status = int(r)
+		default:
+			panic(r)
+		}
+	}()
+
+	name, err = k.Parse(args)
+
+	return name, status, err
+}
+
 func (a *app) do(ctx context.Context, cmd command) error {
 	if cmd.asksNodes && len(a.nodes) == 0 {
 		return fail(ExitUsage, "no node: give --node IP:PORT or set SPAR_NODES")
--- a/cmd/sparctl/shell/client.go
+++ b/cmd/sparctl/shell/client.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net"
 	"time"
 
@@ -155,5 +154,5 @@
 		return change.Result{Verdict: change.Unknown, Op: op, Detail: reason}
 	}
 
-	return change.Result{Verdict: change.Unavailable, Op: op, Detail: fmt.Sprintf("nothing was sent: %s", reason)}
+	return change.Result{Verdict: change.Unavailable, Op: op, Detail: reason}
 }
--- a/cmd/sparctl/shell/shell_test.go
+++ b/cmd/sparctl/shell/shell_test.go
@@ -202,6 +202,9 @@
 			{"explain k", shell.ExitOK, "owner: none", ""},
 			{"timeline --slot 3", shell.ExitUsage, "", "need --service"},
 			{"timeline --from soon", shell.ExitUsage, "", "accepted: RFC 3339"},
+			{"--version", 0, "sparctl ", ""},
+			{"--completion-script-bash", 0, "complete -F", ""},
+			{"zone --help", 0, "zone out", ""},
 			{"nonsense", shell.ExitUsage, "", "see sparctl --help"},
 			{"quarantine lift f", shell.ExitUsage, "", "no quarantine of f"},
 		} {
@@ -220,6 +223,18 @@
 	})
 }
 
+// TestHelpIsPrintedOnce guards against help that repeats itself or shows another default each time.
+func TestHelpIsPrintedOnce(t *testing.T) {
+	var first, second bytes.Buffer
+
+	for _, out := range []*bytes.Buffer{&first, &second} {
+		qt.Assert(t, shell.Run(context.Background(), []string{"--help"}, out, out, nil), qt.Equals, shell.ExitOK)
+	}
+
+	qt.Assert(t, strings.Count(first.String(), "Exit statuses"), qt.Equals, 1)
+	qt.Assert(t, first.String(), qt.Equals, second.String())
+}
+
 // TestLostReplies guards against a change that took effect and is reported as failed, and against
 // one that was never sent and is reported as in doubt.
 func TestLostReplies(t *testing.T) {
--- a/cmd/sparctl/shell/withdraw.go
+++ b/cmd/sparctl/shell/withdraw.go
@@ -12,7 +12,7 @@
 
 func (a *app) withdrawCommands(k *kingpin.Application) {
 	for _, kind := range []string{admin.KindZone, admin.KindServer} {
-		what, arg := "availability zone", "Name of the zone."
+		what, arg := "zone", "Name of the availability zone."
 		if kind == admin.KindServer {
 			what, arg = "backend server", "Name of the VM on which the backend server runs."
 		}
--- /dev/null
+++ b/meter/meter_test.go
@@ -0,0 +1,22 @@
+package meter_test
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"sardinespar.example/spar/meter"
+)
+
+// TestNames guards against metrics outside the scheme or the catalog.
+func TestNames(t *testing.T) {
+	s := meter.NewSet()
+
+	for _, m := range meter.Catalog() {
+		s.Count(m.Name)
+	}
+
+	for _, name := range []string{meter.InFlight, "spar_admit_unknown_count", "admit_in_flight"} {
+		qt.Check(t, func() { s.Count(name) }, qt.PanicMatches, "meter: metric is published twice.*"+name)
+	}
+}
