Let the follower find its registration in the replica

The agent had to tell the follower of its registration, a hook in code that changes with the leases. The follower now waits for its own node's row. The quarantine row has the form that the nodes' side of it uses, and a lift raises the time of the change, by which nodes tell the newer entry.

Mutants found for the lift: it keeps the time of the change, it keeps the crashed nodes.

--- a/admin/quarantine.go
+++ b/admin/quarantine.go
@@ -85,7 +85,8 @@
 	}
 
 	switch {
-	case q.Lifted && q.Op == p.Op:
+	case q.Lifted && (q.Op == p.Op || q.Op == ""):
+		// A node that writes a lifted row again leaves out who lifted it.
 		done.Revision, done.Rows = row.Revision, []spar.Row{row}
 
 		return change.Done(done), nil
@@ -101,12 +102,10 @@
 		}), nil
 	}
 
-	q.Lifted, q.LiftedBy, q.Op = true, p.By, p.Op
-
 	return change.Step{
 		Txn: spar.Txn{
 			Conditions: []spar.Condition{{Key: key, Revision: row.Revision}},
-			Writes:     []spar.Write{{Key: key, Value: fleet.Encode(q)}},
+			Writes:     []spar.Write{{Key: key, Value: fleet.Encode(q.Lift(s.Wall(), p.By, p.Op))}},
 		},
 		Result: done,
 	}, nil
--- a/admin/status_test.go
+++ b/admin/status_test.go
@@ -142,10 +142,14 @@
 
 		defer w.close()
 
+		ahead := time.Now().UnixMilli() + 5000
 		write := func() spar.Revision {
 			return w.apply(context.Background(), spar.Txn{Writes: []spar.Write{{
-				Key:   fleet.PrefixQuarantine + "f",
-				Value: fleet.Encode(spar.Quarantine{Fingerprint: "f", UntilMs: time.Now().UnixMilli() + 60_000}),
+				Key: fleet.PrefixQuarantine + "f",
+				Value: fleet.Encode(spar.Quarantine{
+					Fingerprint: "f", Path: "/desk/x", ChangedMs: ahead,
+					UntilMs: time.Now().UnixMilli() + 60_000, Victims: []spar.NodeID{"vm1.1"},
+				}),
 			}}}).Revision
 		}
 		first := write()
@@ -156,13 +160,20 @@
 		qt.Assert(t, err, qt.IsNil)
 		qt.Assert(t, r.Verdict, qt.Equals, change.Accepted)
 
+		list, err := ask[admin.QuarantinesResult](w, 1, admin.MethodQuarantines, admin.Empty{})
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, list.Quarantines[0].Active, qt.IsFalse)
+		qt.Assert(t, list.Quarantines[0].Path, qt.Equals, "/desk/x")
+		qt.Assert(t, list.Quarantines[0].ChangedMs, qt.Equals, ahead+1)
+		qt.Assert(t, list.Quarantines[0].Victims, qt.HasLen, 0)
+
 		write()
 
 		r, err = ask[change.Result](w, 1, admin.MethodLift, lift)
 		qt.Assert(t, err, qt.IsNil)
 		qt.Assert(t, r.Verdict, qt.Equals, change.Unknown)
 
-		list, err := ask[admin.QuarantinesResult](w, 1, admin.MethodQuarantines, admin.Empty{})
+		list, err = ask[admin.QuarantinesResult](w, 1, admin.MethodQuarantines, admin.Empty{})
 		qt.Assert(t, err, qt.IsNil)
 		qt.Assert(t, list.Quarantines[0].Active, qt.IsTrue)
 	})
--- a/admin/vm_test.go
+++ b/admin/vm_test.go
@@ -70,7 +70,7 @@
 
 	pool := peers.NewPool(v.dialer(v.index), &peers.Traffic{}).Stamped(v.ring)
 	v.spread = fleet.NewSync(v.replica, v.store, pool, clock, v.ring)
-	v.follower = preset.NewFollower(v.replica, clock, v.ring, v.came)
+	v.follower = preset.NewFollower(v.replica, v.id, clock, v.ring, v.came)
 	service := admin.New(admin.Deps{
 		Self: v.id, Replica: v.replica, Spread: v.spread, Table: v.store, Calls: pool, Ring: v.ring,
 		Clock: clock, Wall: wall,
@@ -109,10 +109,6 @@
 	}
 
 	m.Announce(ctx)
-
-	_, revision := m.Self()
-	v.follower.Registered(revision)
-	v.spread.Scan(ctx)
 }
 
 // halt ends the process; its row becomes lost, as after a takeover.
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -214,7 +214,6 @@
 	}
 
 	m.Announce(ctx)
-	a.ops.registered(ctx, a, m)
 	a.ring.Record(spar.Event{Kind: spar.EventRegistered, Service: n.Service})
 	a.deps.Log.Info("registered", "node", m.ID(), "service", n.Service)
 
--- a/agent/operators.go
+++ b/agent/operators.go
@@ -1,14 +1,12 @@
 package agent
 
 import (
-	"context"
 	"expvar"
 	"net/http"
 	"strings"
 
 	spar "sardinespar.example/spar"
 	"sardinespar.example/spar/admin"
-	"sardinespar.example/spar/fleet"
 	"sardinespar.example/spar/meter"
 	"sardinespar.example/spar/preset"
 )
@@ -48,7 +46,7 @@
 
 // serve adds the parts that read the agent's others.
 func (o *operators) serve(a *Agent) {
-	o.follower = preset.NewFollower(a.replica, a.deps.Clock, a.ring, nil)
+	o.follower = preset.NewFollower(a.replica, a.id, a.deps.Clock, a.ring, nil)
 	o.service = admin.New(admin.Deps{
 		Self: a.id, Replica: a.replica, Spread: a.spread, Table: a.deps.Table, Calls: a.pool, Ring: a.ring,
 		Clock: a.deps.Clock, Wall: a.deps.Wall, Report: a.report,
@@ -72,14 +70,6 @@
 	m.Func(meter.EventsDropped, func() any { return a.ring.Dropped() })
 }
 
-// registered lets the preset in force take effect on this node. The scan makes the replica complete
-// to the registration without waiting for the next one.
-func (o *operators) registered(ctx context.Context, a *Agent, m *fleet.Member) {
-	_, revision := m.Self()
-	o.follower.Registered(revision)
-	a.spread.Scan(ctx)
-}
-
 func (a *Agent) leaseRemaining() spar.Millis {
 	return max(0, a.lease.Until()-a.deps.Clock.Now())
 }
--- a/cmd/sparctl/shell/quarantine.go
+++ b/cmd/sparctl/shell/quarantine.go
@@ -26,7 +26,7 @@
 	}
 
 	return a.print(list, func(w io.Writer) {
-		printf(w, "FINGERPRINT\tSERVICE\tSEEN BY\tUNTIL\tSTATE\n")
+		printf(w, "FINGERPRINT\tREQUEST\tCRASHED\tUNTIL\tSTATE\n")
 
 		for _, q := range list.Quarantines {
 			state := "over"
@@ -38,7 +38,7 @@
 				state = "in quarantine"
 			}
 
-			printf(w, "%s\t%s\t%s\t%s\t%s\n", q.Fingerprint, q.Service, q.By, clock(q.UntilMs), state)
+			printf(w, "%s\t%s %s\t%d\t%s\t%s\n", q.Fingerprint, q.Method, q.Path, len(q.Victims), clock(q.UntilMs), state)
 		}
 	})
 }
--- a/preset/follow.go
+++ b/preset/follow.go
@@ -18,29 +18,21 @@
 // served on the same VM before.
 type Follower struct {
 	replica *fleet.Replica
+	self    func() spar.NodeID
 	clock   spar.Clock
 	record  spar.Recorder
 	apply   func(Force)
 
-	mu         sync.Mutex
-	registered spar.Revision
-	force      Force
+	mu    sync.Mutex
+	force Force
 }
 
-// NewFollower returns a follower that calls apply, if it is not nil, with each pointer that comes
-// into force.
-func NewFollower(r *fleet.Replica, clock spar.Clock, record spar.Recorder, apply func(Force)) *Follower {
-	return &Follower{replica: r, clock: clock, record: record, apply: apply}
-}
-
-// Registered tells the revision of the node's first registration.
-func (f *Follower) Registered(revision spar.Revision) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-
-	if f.registered == 0 {
-		f.registered = revision
-	}
+// NewFollower returns a follower on the node that self names. It calls apply, if it is not nil, with
+// each pointer that comes into force.
+func NewFollower(
+	r *fleet.Replica, self func() spar.NodeID, clock spar.Clock, record spar.Recorder, apply func(Force),
+) *Follower {
+	return &Follower{replica: r, self: self, clock: clock, record: record, apply: apply}
 }
 
 // Generation returns the generation in force on this node, 0 for none.
@@ -76,10 +68,8 @@
 }
 
 func (f *Follower) loop(ctx context.Context) {
-	for !f.complete() {
-		if !f.clock.Sleep(ctx, followPoll) {
-			return
-		}
+	if !f.await(ctx) {
+		return
 	}
 
 	for {
@@ -94,12 +84,25 @@
 	}
 }
 
-// complete reports whether the replica has all rows up to the node's registration.
-func (f *Follower) complete() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
+// await waits until the replica has all rows up to the node's first registration, and reports false
+// if ctx ended first.
+func (f *Follower) await(ctx context.Context) bool {
+	var registered spar.Revision
+
+	for {
+		v := f.replica.View()
+		if n, ok := v.Node(f.self()); ok && registered == 0 {
+			registered = n.Revision
+		}
 
-	return f.registered != 0 && f.replica.View().Complete() >= f.registered
+		if registered != 0 && v.Complete() >= registered {
+			return true
+		}
+
+		if !f.clock.Sleep(ctx, followPoll) {
+			return false
+		}
+	}
 }
 
 func (f *Follower) step() {
