Bound what presets and time lines cost in memory

The history keeps the last 1000 generations. An operation sent again after its record is gone is answered as unknown and does not take effect. The events of one answer are bounded to 50 000; nodes that hold older ones are named.

--- a/admin/explain.go
+++ b/admin/explain.go
@@ -10,8 +10,14 @@
 	"sardinespar.example/spar/fleet"
 )
 
-// explainEvents bounds the events in an explanation.
-const explainEvents = 10
+const (
+	// explainEvents bounds the events in an explanation.
+	explainEvents = 10
+	// mostEvents bounds the events that one answer gathers, about 10 MB, since the asked node keeps
+	// its memory at any size of the fleet. Each node sends its share, at least leastEvents.
+	mostEvents  = 50_000
+	leastEvents = 100
+)
 
 // ExplainParams names a key; an empty service stands for all services divided by key.
 type ExplainParams struct {
@@ -110,6 +116,8 @@
 type EventsResult struct {
 	Events  []spar.Event  `json:"events"`
 	Missing []spar.NodeID `json:"missing"`
+	// Cut names the nodes that have older events than they sent.
+	Cut []spar.NodeID `json:"cut"`
 }
 
 func (s *Service) events(ctx context.Context, p EventsParams) (EventsResult, error) {
@@ -124,21 +132,40 @@
 	}
 
 	if p.Local {
-		return EventsResult{Events: p.Filter.Apply(s.Ring.Events())}, nil
+		return s.local(p.Filter), nil
 	}
 
 	return s.gather(ctx, p.Filter), nil
 }
 
+// local returns the selected events of this node's ring.
+func (s *Service) local(f event.Filter) EventsResult {
+	newest := f.Newest
+	f.Newest = 0
+	events := f.Apply(s.Ring.Events())
+
+	if newest == 0 || len(events) <= newest {
+		return EventsResult{Events: events}
+	}
+
+	return EventsResult{Events: events[len(events)-newest:], Cut: []spar.NodeID{s.Self()}}
+}
+
 // gather merges the selected events of all nodes.
 func (s *Service) gather(ctx context.Context, f event.Filter) EventsResult {
 	nodes := s.Replica.View().Nodes()
-	local := f.Apply(s.Ring.Events())
-	rings := [][]spar.Event{local}
+	each := f
+	each.Newest = max(leastEvents, mostEvents/max(1, len(nodes)))
+
+	if f.Newest > 0 {
+		each.Newest = min(each.Newest, f.Newest)
+	}
 
-	var result EventsResult
+	result := s.local(each)
+	rings := [][]spar.Event{result.Events}
 
-	for _, a := range ask(ctx, s, others(nodes, s.Self()), MethodEvents, EventsParams{Filter: f, Local: true}, s.events) {
+	params := EventsParams{Filter: each, Local: true}
+	for _, a := range ask(ctx, s, others(nodes, s.Self()), MethodEvents, params, s.events) {
 		if a.err != nil {
 			result.Missing = append(result.Missing, a.node.ID)
 
@@ -146,6 +173,7 @@
 		}
 
 		rings = append(rings, a.result.Events)
+		result.Cut = append(result.Cut, a.result.Cut...)
 	}
 
 	result.Events = f.Apply(event.Merge(rings...))
--- a/admin/world_test.go
+++ b/admin/world_test.go
@@ -117,6 +117,10 @@
 	return c
 }
 
+// settled is above the longest pause between two scans of a small fleet, after which every node
+// knows all others.
+const settled = 3 * time.Second
+
 const (
 	outageDelay = 50 * time.Millisecond
 	lateDelay   = 1500 * time.Millisecond
--- a/cmd/sparctl/shell/timeline.go
+++ b/cmd/sparctl/shell/timeline.go
@@ -107,6 +107,10 @@
 		if len(result.Missing) > 0 {
 			printNames(w, "nodes without an answer", result.Missing)
 		}
+
+		if len(result.Cut) > 0 {
+			printNames(w, "nodes with older events, see --from and --to", result.Cut)
+		}
 	})
 }
 
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -184,7 +184,7 @@
 	changed := false
 
 	for _, r := range rows {
-		if strings.HasPrefix(r.Key, PrefixOp) || r.Revision <= v.rows[r.Key].Revision {
+		if unreplicated(r.Key) || r.Revision <= v.rows[r.Key].Revision {
 			continue
 		}
 
@@ -202,6 +202,13 @@
 	return next, changed
 }
 
+// unreplicated reports whether nodes leave a row to the table. Presets and the history of the pointer
+// grow with every change; nodes need only the pointer, which carries the preset in force.
+func unreplicated(key string) bool {
+	return strings.HasPrefix(key, PrefixOp) || strings.HasPrefix(key, PrefixPreset) ||
+		strings.HasPrefix(key, PrefixForce+"/")
+}
+
 // put stores a row. A row that can't be decoded is kept raw only: a newer release may have
 // written it.
 func (v *View) put(r spar.Row) {
--- a/preset/force.go
+++ b/preset/force.go
@@ -59,32 +59,6 @@
 	return *f.Preset, f.Generation, true
 }
 
-// All returns the presets in a snapshot, by name and version.
-func All(v *fleet.View) []Preset {
-	var all []Preset
-
-	for _, row := range v.Rows(fleet.PrefixPreset) {
-		if p, err := decode[Preset](row); err == nil {
-			all = append(all, p)
-		}
-	}
-
-	return all
-}
-
-// History returns the generations in a snapshot in the order of their row keys.
-func History(v *fleet.View) []Force {
-	var all []Force
-
-	for _, row := range v.Rows(fleet.PrefixForce + "/") {
-		if f, err := decode[Force](row); err == nil {
-			all = append(all, f)
-		}
-	}
-
-	return all
-}
-
 func decode[T any](row spar.Row) (T, error) {
 	var value T
 	if err := json.Unmarshal(row.Value, &value); err != nil {
--- a/preset/store.go
+++ b/preset/store.go
@@ -9,6 +9,10 @@
 	"sardinespar.example/spar/fleet"
 )
 
+// KeptGenerations is how many generations the history holds: two days at the target rate of 450
+// changes a day. Older rows are deleted, so that the table does not grow without bound.
+const KeptGenerations = 1000
+
 // Store changes presets and the pointer in the table.
 type Store struct {
 	table spar.Table
@@ -136,6 +140,11 @@
 		return change.Step{}, err
 	}
 
+	// The pointer may have moved after the history was read.
+	if current.Generation > c.Seen {
+		return s.late(ctx, c, current.Generation)
+	}
+
 	if current.Generation < c.Seen {
 		return change.Done(change.Refuse(c.Op, "generation %d does not exist; in force is %d",
 			c.Seen, current.Generation)), nil
@@ -144,16 +153,32 @@
 	f := Force{Generation: c.Seen + 1, Name: c.Name, Version: c.Version, By: c.By, Op: c.Op, AtMs: s.wall()}
 	full := f
 	full.Preset = &p
-
-	return change.Step{
-		Txn: spar.Txn{
-			Conditions: []spar.Condition{{Key: fleet.PrefixForce, Revision: pointer}, {Key: history}},
-			Writes: []spar.Write{
-				{Key: fleet.PrefixForce, Value: fleet.Encode(full)}, {Key: history, Value: fleet.Encode(f)},
-			},
+	txn := spar.Txn{
+		Conditions: []spar.Condition{{Key: fleet.PrefixForce, Revision: pointer}, {Key: history}},
+		Writes: []spar.Write{
+			{Key: fleet.PrefixForce, Value: fleet.Encode(full)}, {Key: history, Value: fleet.Encode(f)},
 		},
-		Result: accepted(f),
-	}, nil
+	}
+
+	if old := f.Generation - KeptGenerations; old > 0 {
+		txn.Writes = append(txn.Writes, spar.Write{Key: ForceKey(old)})
+	}
+
+	return change.Step{Txn: txn, Result: accepted(f)}, nil
+}
+
+// late decides a change whose generation has passed. Without its history row nobody can tell any
+// more whether this operation wrote it.
+func (s Store) late(ctx context.Context, c Change, current int64) (change.Step, error) {
+	row, ok, err := s.table.Get(ctx, ForceKey(c.Seen+1))
+	if err != nil || ok {
+		return s.decided(ctx, c, row, err)
+	}
+
+	return change.Done(change.Result{
+		Verdict: change.Unknown, Op: c.Op,
+		Detail: fmt.Sprintf("in force is generation %d; the record of %d is gone", current, c.Seen+1),
+	}), nil
 }
 
 // decided returns the end of a change whose generation has been written.
--- /dev/null
+++ b/preset/store_test.go
@@ -0,0 +1,63 @@
+package preset_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	spar "sardinespar.example/spar"
+	"sardinespar.example/spar/change"
+	"sardinespar.example/spar/fleet"
+	"sardinespar.example/spar/preset"
+	"sardinespar.example/spar/table"
+)
+
+// TestHistoryIsBounded guards against a history that grows without bound, and against an old
+// operation sent again after its record is gone, which must neither take effect nor be judged.
+func TestHistoryIsBounded(t *testing.T) {
+	ctx := context.Background()
+	memory := table.NewMemory()
+	store := preset.NewStore(memory, spar.RuntimeClock(), func() int64 { return 1 })
+
+	_, r := store.Create(ctx, "day", []byte(valid), "ann", "create")
+	qt.Assert(t, r.Verdict, qt.Equals, change.Accepted)
+
+	force := func(seen int64) change.Result {
+		return store.Force(ctx, preset.Change{Name: "day", Version: 1, Seen: seen, By: "ann", Op: fmt.Sprint(seen)})
+	}
+
+	const generations = preset.KeptGenerations + 5
+	for seen := range int64(generations) {
+		qt.Assert(t, force(seen).Verdict, qt.Equals, change.Accepted)
+	}
+
+	rows, revision, _ := memory.Scan(ctx, fleet.PrefixForce, 0)
+	qt.Assert(t, len(rows), qt.Equals, preset.KeptGenerations+1)
+
+	qt.Assert(t, force(0).Verdict, qt.Equals, change.Unknown)
+	qt.Assert(t, force(generations-1).Verdict, qt.Equals, change.Accepted)
+	qt.Assert(t, force(generations-1).Generation, qt.Equals, int64(generations))
+
+	_, after, _ := memory.Scan(ctx, "", 0)
+	qt.Assert(t, after, qt.Equals, revision)
+}
+
+// TestReplicaLeavesHistory guards against nodes whose memory grows with every change.
+func TestReplicaLeavesHistory(t *testing.T) {
+	p := preset.Preset{Name: "day", Version: 1}
+	r := fleet.NewReplica()
+	r.Merge([]spar.Row{
+		{Key: preset.Key("day", 1), Value: fleet.Encode(p), Revision: 1},
+		{Key: preset.ForceKey(1), Value: fleet.Encode(preset.Force{Generation: 1}), Revision: 2},
+		{Key: fleet.PrefixForce, Value: fleet.Encode(preset.Force{Generation: 1, Preset: &p}), Revision: 2},
+	}, 2)
+
+	qt.Assert(t, r.View().Rows(""), qt.HasLen, 1)
+
+	got, generation, ok := preset.InForce(r.View())
+	qt.Assert(t, ok, qt.IsTrue)
+	qt.Assert(t, generation, qt.Equals, int64(1))
+	qt.Assert(t, got.ID(), qt.Equals, "day/1")
+}
