--- a/preset/follow.go
+++ b/preset/follow.go
@@ -55,11 +55,12 @@
 	return *f.force.Preset, f.force.Generation, true
 }
 
-// PolicyOf returns the policy of a service on this node.
-func (f *Follower) PolicyOf(service string) Policy {
-	p, _, _ := f.InForce()
+// PolicyOf returns the policy of a service on this node, and whether a preset is in force; the
+// node's settings hold without one.
+func (f *Follower) PolicyOf(service string) (Policy, bool) {
+	p, _, ok := f.InForce()
 
-	return p.PolicyOf(service)
+	return p.PolicyOf(service), ok
 }
 
 // Run follows the replica until ctx ends.
