Check the 8 s also while other nodes stay cut off

The bound was only checked after all cuts had ended. VMs that reach the table must have what is in force within it while others are cut off.

--- a/admin/machine_test.go
+++ b/admin/machine_test.go
@@ -49,6 +49,7 @@
 				"pull":      m.pull,
 				"old push":  m.oldPush,
 				"wait":      func(rt *rapid.T) { m.wait(rapid.IntRange(1, 4000).Draw(rt, "ms")) },
+				"reach":     m.reach,
 				"":          m.check,
 			})
 
@@ -151,6 +152,26 @@
 	}
 }
 
+// reach waits for the bound while other VMs stay cut off: those that reach the table have what is in
+// force.
+func (m *machine) reach(rt *rapid.T) {
+	before := m.last()
+
+	time.Sleep(everywhere)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+
+	for _, v := range m.vms {
+		v.store.lag.Lock()
+		reached := !m.outage && !m.cut[[2]int{v.index, tableIndex}] && !v.store.lagging
+		v.store.lag.Unlock()
+
+		if got := v.follower.Generation(); reached && got < before {
+			rt.Fatalf("%s reaches the table and has generation %d, in force is %d", v.id(), got, before)
+		}
+	}
+}
+
 func (m *machine) wait(ms int) {
 	time.Sleep(time.Duration(ms) * time.Millisecond)
 }
