--- a/admin/status_test.go
+++ b/admin/status_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -44,7 +45,7 @@
 			preset.Change{Name: "day", Version: 1, By: "ann", Op: "2"})
 		qt.Assert(t, err, qt.IsNil)
 		qt.Assert(t, forced.Verdict, qt.Equals, change.Accepted)
-		time.Sleep(2 * time.Second)
+		time.Sleep(settled)
 
 		st, err := ask[admin.Status](w, 0, admin.MethodStatus, admin.Empty{})
 		qt.Assert(t, err, qt.IsNil)
@@ -75,7 +76,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld()
 		w.start(2)
-		time.Sleep(time.Second)
+		time.Sleep(settled)
 
 		defer w.close()
 
@@ -111,7 +112,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld()
 		w.start(3)
-		time.Sleep(time.Second)
+		time.Sleep(settled)
 
 		defer w.close()
 
@@ -127,6 +128,23 @@
 		qt.Assert(t, r.Events, qt.HasLen, 2)
 		qt.Assert(t, r.Events[0].Kind, qt.Equals, spar.EventMoveBegun)
 
+		r, err = ask[admin.EventsResult](w, 2, admin.MethodEvents,
+			admin.EventsParams{Filter: event.Filter{Service: "desk", Newest: 1}})
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, r.Events, qt.HasLen, 1)
+		qt.Assert(t, r.Events[0].Kind, qt.Equals, spar.EventMoved)
+
+		for i := range 20 {
+			w.vms[0].ring.Record(spar.Event{Kind: spar.EventShed, Service: "desk", Detail: strconv.Itoa(i)})
+		}
+
+		r, err = ask[admin.EventsResult](w, 2, admin.MethodEvents,
+			admin.EventsParams{Filter: event.Filter{Service: "desk", Newest: 5}})
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, r.Events, qt.HasLen, 5)
+		qt.Assert(t, r.Events[4].Detail, qt.Equals, "19")
+		qt.Assert(t, r.Cut, qt.DeepEquals, []spar.NodeID{"vm0.1"})
+
 		st, err := ask[admin.Status](w, 2, admin.MethodStatus, admin.Empty{})
 		qt.Assert(t, err, qt.IsNil)
 		qt.Assert(t, st.Nodes[0].Report.Moving, qt.HasLen, 1)
@@ -138,14 +156,18 @@
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld()
 		w.start(2)
-		time.Sleep(time.Second)
+		time.Sleep(settled)
 
 		defer w.close()
 
+		ahead := time.Now().UnixMilli() + 5000
 		write := func() spar.Revision {
 			return w.apply(context.Background(), spar.Txn{Writes: []spar.Write{{
-				Key:   fleet.PrefixQuarantine + "f",
-				Value: fleet.Encode(spar.Quarantine{Fingerprint: "f", UntilMs: time.Now().UnixMilli() + 60_000}),
+				Key: fleet.PrefixQuarantine + "f",
+				Value: fleet.Encode(spar.Quarantine{
+					Fingerprint: "f", Path: "/desk/x", ChangedMs: ahead,
+					UntilMs: time.Now().UnixMilli() + 60_000, Victims: []spar.NodeID{"vm1.1"},
+				}),
 			}}}).Revision
 		}
 		first := write()
@@ -156,13 +178,20 @@
 		qt.Assert(t, err, qt.IsNil)
 		qt.Assert(t, r.Verdict, qt.Equals, change.Accepted)
 
+		list, err := ask[admin.QuarantinesResult](w, 1, admin.MethodQuarantines, admin.Empty{})
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, list.Quarantines[0].Active, qt.IsFalse)
+		qt.Assert(t, list.Quarantines[0].Path, qt.Equals, "/desk/x")
+		qt.Assert(t, list.Quarantines[0].ChangedMs, qt.Equals, ahead+1)
+		qt.Assert(t, list.Quarantines[0].Victims, qt.HasLen, 0)
+
 		write()
 
 		r, err = ask[change.Result](w, 1, admin.MethodLift, lift)
 		qt.Assert(t, err, qt.IsNil)
 		qt.Assert(t, r.Verdict, qt.Equals, change.Unknown)
 
-		list, err := ask[admin.QuarantinesResult](w, 1, admin.MethodQuarantines, admin.Empty{})
+		list, err = ask[admin.QuarantinesResult](w, 1, admin.MethodQuarantines, admin.Empty{})
 		qt.Assert(t, err, qt.IsNil)
 		qt.Assert(t, list.Quarantines[0].Active, qt.IsTrue)
 	})
--- a/agent/tenure.go
+++ b/agent/tenure.go
@@ -54,7 +54,9 @@
 func (a *Agent) join(ctx context.Context, n Announcement) {
 	node := spar.Node{
 		VM: a.cfg.VM, Service: n.Service,
-		Zone: a.cfg.Zone, Region: a.cfg.Region, HTTPAddr: cmp.Or(a.cfg.AdvertiseHTTP, a.cfg.HTTPAddr), PeerAddr: cmp.Or(a.cfg.AdvertisePeer, a.cfg.PeerAddr),
+		Zone: a.cfg.Zone, Region: a.cfg.Region,
+		HTTPAddr:     cmp.Or(a.cfg.AdvertiseHTTP, a.cfg.HTTPAddr),
+		PeerAddr:     cmp.Or(a.cfg.AdvertisePeer, a.cfg.PeerAddr),
 		Capacity:     spar.Capacity{Slots: n.Slots, Conns: n.Conns},
 		ChecksGrants: n.ChecksGrants,
 	}
@@ -99,7 +101,6 @@
 		return
 	}
 
-	a.ops.registered(ctx, a, t.member)
 	a.deps.Log.Info("registered", "node", t.member.ID(), "service", n.Service)
 
 	balancer := plan.NewBalancer(t.member.ID(), a.replica, a.pool, a.deps.Clock)
