Let frozen hosts write without blocking the caller

A frozen host's second write blocked inside jsonrpc2's mutex. The network now takes the bytes and holds them until the thaw.

--- a/fault/conn.go
+++ b/fault/conn.go
@@ -98,10 +98,12 @@
 	return client, nil
 }
 
-// chunk is bytes with their time of arrival; no bytes mean that the sender closed the connection.
+// chunk is bytes with their time of arrival; no bytes mean that the sender closed the connection. A
+// held chunk was written while the sender was frozen, and counts as written when it runs again.
 type chunk struct {
 	data   []byte
 	arrive time.Time
+	held   bool
 }
 
 // stream carries bytes one way.
@@ -140,16 +142,13 @@
 	delete(s.net.streams, s)
 }
 
-// run takes what the sender writes. A frozen sender's bytes count as written when it runs again.
+// run takes what the sender writes, even from a frozen one: a blocked write would keep jsonrpc2's
+// mutex, and virtual time stands still while a goroutine waits for a mutex.
 func (s *stream) run() {
 	for {
 		data := make([]byte, chunkBytes)
 		k, err := s.src.Read(data)
 
-		if !s.net.awaitThaw(s.ctx, s.from) {
-			return
-		}
-
 		if k > 0 && !s.put(chunk{data: data[:k]}) {
 			return
 		}
@@ -164,6 +163,7 @@
 
 func (s *stream) put(c chunk) bool {
 	c.arrive = time.Now().Add(s.net.delay(s.from, s.to))
+	c.held = s.net.isFrozen(s.from)
 
 	select {
 	case s.queue <- c:
@@ -186,6 +186,10 @@
 			return
 		}
 
+		if c.held && (!s.net.awaitThaw(s.ctx, s.from) || !sleep(s.ctx, s.net.delay(s.from, s.to))) {
+			return
+		}
+
 		if !sleep(s.ctx, time.Until(c.arrive)) || !s.net.awaitPath(s.ctx, s.from, s.to) || len(c.data) == 0 {
 			return
 		}
--- a/fault/net.go
+++ b/fault/net.go
@@ -177,6 +177,13 @@
 	return n.await(ctx, func() bool { return !n.frozen[to] && !n.links[pair{from, to}].Cut })
 }
 
+func (n *Net) isFrozen(host string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	return n.frozen[host]
+}
+
 // delay draws the delay of one message.
 func (n *Net) delay(from, to string) time.Duration {
 	n.mu.Lock()
