Look at the table before a table lease is taken for lapsed

Replicas are behind by up to the scan interval, 6.4 s at 32 nodes, so planners of the baseline took live nodes for lapsed ones and their transactions were rejected. They now read the changed rows first and stop at the first rejection.

--- a/agent/cluster_test.go
+++ b/agent/cluster_test.go
@@ -80,7 +80,7 @@
 			c.start(i)
 		}
 
-		time.Sleep(5 * time.Second)
+		time.Sleep(3 * time.Second)
 		c.assign("")
 
 		if !c.heldWithin(5 * time.Second) {
--- a/agent/failure_test.go
+++ b/agent/failure_test.go
@@ -23,6 +23,8 @@
 		{"a zone", []int{1, 4, 7}},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+
 			found := withCluster(t, witnessed(1), func(c *cluster) {
 				for _, i := range tt.killed {
 					c.kill(i)
@@ -51,6 +53,8 @@
 
 // Guards against a lost node that stays away, comes back under its old id, or admits on its return.
 func TestFrozenNodeReturnsUnderNewIncarnation(t *testing.T) {
+	t.Parallel()
+
 	found := withCluster(t, witnessed(2), func(c *cluster) {
 		n := c.nodes[3]
 		before := n.reg.ID()
@@ -75,6 +79,8 @@
 // Guards against an outage of the table, or one that begins in the middle of a suspicion, that ends
 // the lease of a node that runs.
 func TestTableOutageCostsNoLease(t *testing.T) {
+	t.Parallel()
+
 	found := withCluster(t, witnessed(3), func(c *cluster) {
 		lost := c.oracle.count(spar.EventLeaseLost)
 
@@ -101,6 +107,8 @@
 
 // Guards against a takeover that was abandoned and leaves the node fenced for ever.
 func TestAbandonedTakeoverLeavesNodeUnfenced(t *testing.T) {
+	t.Parallel()
+
 	found := withCluster(t, witnessed(4), func(c *cluster) {
 		n := c.nodes[3]
 		before := n.reg.ID()
--- a/plan/backoff.go
+++ b/plan/backoff.go
@@ -29,7 +29,7 @@
 // ready reports whether the planner may plan: not during the pause after a failure, and then only
 // on fresh rows, since a stale one was the likely reason.
 func (p *Planner) ready(ctx context.Context) bool {
-	if p.pause.wait == 0 {
+	if p.pause.due == 0 {
 		return true
 	}
 
@@ -43,5 +43,7 @@
 		return false
 	}
 
+	p.pause.due = 0
+
 	return true
 }
--- a/plan/planner.go
+++ b/plan/planner.go
@@ -5,7 +5,6 @@
 
 	spar "sardinespar.example/spar"
 	"sardinespar.example/spar/fleet"
-	"sardinespar.example/spar/lease"
 	"sardinespar.example/spar/table"
 )
 
@@ -27,12 +26,6 @@
 	pause   backoff
 }
 
-// sighting is the revision of a node's row and when it was first seen.
-type sighting struct {
-	revision spar.Revision
-	at       spar.Millis
-}
-
 // NewPlanner returns the planner of one node.
 func NewPlanner(
 	self spar.NodeID, r *fleet.Replica, s *fleet.Sync, t spar.Table, clock spar.Clock, record spar.Recorder,
@@ -54,9 +47,9 @@
 			continue
 		}
 
-		v := p.replica.View()
-		p.takeOverStale(ctx, v)
+		p.takeOverStale(ctx)
 
+		v := p.replica.View()
 		if !p.onDuty(v) {
 			continue
 		}
@@ -80,29 +73,6 @@
 	return false
 }
 
-// takeOverStale takes over nodes whose table lease has ended: their row did not change for the
-// lease's lifetime on this node's clock.
-func (p *Planner) takeOverStale(ctx context.Context, v *fleet.View) {
-	now := p.clock.Now()
-
-	for _, n := range v.Nodes() {
-		row, _ := v.Node(n.ID)
-		if n.Beat == 0 || n.ID == p.self {
-			continue
-		}
-
-		if p.seen[n.ID].revision != row.Revision {
-			p.seen[n.ID] = sighting{revision: row.Revision, at: now}
-
-			continue
-		}
-
-		if now-p.seen[n.ID].at > spar.WaitFor(lease.TableTTL) {
-			p.commit(ctx, TakeoverTxn(v, row), spar.Event{Kind: spar.EventTakeover, Peer: n.ID, Service: n.Service})
-		}
-	}
-}
-
 func (p *Planner) commit(ctx context.Context, txn spar.Txn, e spar.Event) {
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout.Duration())
 	defer cancel()
