--- a/agent/cluster_test.go
+++ b/agent/cluster_test.go
@@ -63,7 +63,7 @@
 
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
-		history := &history{inner: table.NewMemory(), commits: map[spar.Revision]spar.Txn{}}
+		history := &history{Table: table.NewMemory(), commits: map[spar.Revision]spar.Txn{}}
 		c := &cluster{
 			setup: s, net: fault.NewNet(s.seed), history: history, store: fault.NewStore(history), ctx: ctx,
 			nodes: make([]*node, s.nodes),
@@ -252,23 +252,18 @@
 	return false
 }
 
+// state describes the cluster for the message of a failed test.
 func (c *cluster) state() string {
 	var b strings.Builder
 
 	for i, n := range c.nodes {
-		if n == nil {
-			fmt.Fprintf(&b, "\n%d: not running", i)
-
+		if n == nil || n.reg.Member() == nil {
 			continue
 		}
 
-		fmt.Fprintf(&b, "\n%d: %s lease left %.0f owns %d complete %d", i, n.reg.ID(), n.reg.Until()-n.vm.Peek(),
-			len(owned(n.replica.View(), n.reg.ID())), n.replica.View().Complete())
-
-		if m := n.reg.Member(); m != nil {
-			self, revision := m.Self()
-			fmt.Fprintf(&b, " %s@%d %v", self.State, revision, self.Witnesses)
-		}
+		self, revision := n.reg.Member().Self()
+		fmt.Fprintf(&b, "\n%d: %s %s@%d lease left %.0f owns %d %v", i, self.ID, self.State, revision,
+			n.reg.Until()-n.vm.Peek(), len(owned(n.replica.View(), self.ID)), self.Witnesses)
 	}
 
 	return b.String() + "\n" + c.oracle.tail()
--- a/agent/measure_test.go
+++ b/agent/measure_test.go
@@ -67,43 +67,23 @@
 func (c *cluster) gap(event string, after time.Duration) time.Duration {
 	time.Sleep(after)
 
-	v := c.nodes[victim].replica.View()
-	slots := owned(v, c.nodes[victim].reg.ID())
-	n := c.nodes[victim]
-	began := time.Now()
+	n, began := c.nodes[victim], time.Now()
 
 	if event == "kill" {
 		c.kill(victim)
 	} else {
 		n.vm.Freeze()
+		c.set(victim, nil) // The oracle counts a frozen node as an owner until its lease ends.
 	}
 
-	for c.heldByOthers(slots) < len(slots) {
-		time.Sleep(time.Millisecond)
-	}
+	c.heldWithin(10 * time.Second)
 
 	took := time.Since(began)
 
-	n.vm.Thaw()
-
-	return took
-}
-
-func (c *cluster) heldByOthers(slots []int) int {
-	held := 0
-
-	for i, n := range c.nodes {
-		if n == nil || i == victim || n.vm.Peek() >= n.reg.Until() {
-			continue
-		}
-
-		mine := owned(n.replica.View(), n.reg.ID())
-		for _, slot := range slots {
-			if slices.Contains(mine, slot) {
-				held++
-			}
-		}
+	if event != "kill" {
+		n.vm.Thaw()
+		c.set(victim, n)
 	}
 
-	return held
+	return took
 }
--- a/agent/oracle_test.go
+++ b/agent/oracle_test.go
@@ -15,22 +15,14 @@
 
 // history is a table that keeps every applied transaction.
 type history struct {
-	inner spar.Table
+	spar.Table
 
 	mu      sync.Mutex
 	commits map[spar.Revision]spar.Txn
 }
 
-func (h *history) Get(ctx context.Context, key string) (spar.Row, bool, error) {
-	return h.inner.Get(ctx, key)
-}
-
-func (h *history) Scan(ctx context.Context, prefix string, since spar.Revision) ([]spar.Row, spar.Revision, error) {
-	return h.inner.Scan(ctx, prefix, since)
-}
-
 func (h *history) Commit(ctx context.Context, txn spar.Txn) spar.Commit {
-	c := h.inner.Commit(ctx, txn)
+	c := h.Table.Commit(ctx, txn)
 
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/lease/choose_test.go
+++ b/lease/choose_test.go
@@ -70,17 +70,12 @@
 	} {
 		t.Run(fmt.Sprintf("%+v", tt), func(t *testing.T) {
 			fleet := fleetOf(tt.nodes, tt.zones, tt.regions)
-			load := map[spar.NodeID]int{}
 
 			for _, self := range fleet[:min(60, len(fleet))] {
 				ids := lease.ChooseWitnesses(self, fleet, answers)
 				qt.Assert(t, ids, qt.HasLen, tt.size)
 				qt.Assert(t, slices.Contains(ids, self.ID), qt.IsFalse)
 
-				for _, id := range ids {
-					load[id]++
-				}
-
 				for z := range tt.zones {
 					zone := spar.Zone(fmt.Sprint(z))
 					left := survivors(fleet, ids, func(n spar.Node) bool { return n.Zone == zone })
--- a/lease/holder.go
+++ b/lease/holder.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 
@@ -135,11 +136,13 @@
 	witnesses := slices.Concat(h.sets()...)
 	slices.Sort(witnesses)
 
-	v := h.replica.View()
+	witnesses = slices.Compact(witnesses)
+	h.forget(witnesses)
 
-	var renewals []renewal
+	v := h.replica.View()
+	renewals := make([]renewal, 0, len(witnesses))
 
-	for _, id := range slices.Compact(witnesses) {
+	for _, id := range witnesses {
 		w, ok := v.Node(id)
 		if !ok {
 			continue
@@ -154,6 +157,16 @@
 	return renewals
 }
 
+// forget drops what is remembered of nodes that are no witnesses any more.
+func (h *Holder) forget(witnesses []spar.NodeID) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	gone := func(id spar.NodeID) bool { return !slices.Contains(witnesses, id) }
+	maps.DeleteFunc(h.grants, func(id spar.NodeID, _ spar.Millis) bool { return gone(id) })
+	maps.DeleteFunc(h.failures, func(id spar.NodeID, _ int) bool { return gone(id) })
+}
+
 // renewal is one message to one witness.
 type renewal struct {
 	holder *Holder
--- a/lease/witness.go
+++ b/lease/witness.go
@@ -75,7 +75,7 @@
 	result := RenewResult{Verdict: Granted, TTL: spar.LeaseTTL, Complete: v.Complete()}
 	row, known := v.Node(p.Node)
 
-	if known {
+	if known && p.Complete > v.Complete() {
 		go behind{w.spread, row.Value.PeerAddr, p.Complete}.run(context.WithoutCancel(ctx))
 	}
 
@@ -148,7 +148,10 @@
 	paused := now-w.looked > pausedFor
 	w.looked = now
 
-	watched := w.replica.View().NodesWitnessedBy(w.id)
+	v := w.replica.View()
+	w.forget(v, now)
+
+	watched := v.NodesWitnessedBy(w.id)
 	suspects := make([]fleet.Versioned[spar.Node], 0, len(watched))
 
 	for _, n := range watched {
@@ -167,6 +170,15 @@
 	return suspects
 }
 
+// forget drops what is remembered of lost nodes. Their renewals are refused by their rows.
+func (w *Witness) forget(v *fleet.View, now spar.Millis) {
+	for id, last := range w.promises {
+		if n, ok := v.Node(id); ok && n.Value.State == spar.NodeLost && last.until < now {
+			delete(w.promises, id)
+		}
+	}
+}
+
 // behind is a pull that a renewal has shown to be due.
 type behind struct {
 	spread   *fleet.Sync
--- a/plan/taker.go
+++ b/plan/taker.go
@@ -147,7 +147,10 @@
 		return
 	}
 
-	k.ready <- n
+	select {
+	case k.ready <- n:
+	case <-ctx.Done():
+	}
 }
 
 // read returns a node's row from the table. Without an answer nothing is fenced, so that an outage
