--- a/agent/agent.go
+++ b/agent/agent.go
@@ -75,7 +75,7 @@
 	a.limiter = admit.NewFixed(deps.Clock, cfg.MaxQueue)
 	a.joined = NewRegistrar(Ownership{
 		Clock: deps.Clock, Table: deps.Table, Calls: a.pool, Replica: a.replica, Spread: a.spread, Record: a.ring,
-		Incarnation: deps.Incarnation, Lease: cfg.Lease, Registered: a.ring.Named,
+		Incarnation: deps.Incarnation, Lease: cfg.Lease, Registered: a.registering,
 	})
 	a.guard = guard.New(a.joined.ID, a.replica, a.joined, a.limiter, deps.HTTP, deps.Clock)
 	a.handler = route.New(a.joined.ID, a.replica, a.guard, deps.HTTP, pick.NewRobin(), deps.Clock)
@@ -166,6 +166,12 @@
 	}
 }
 
+// registering gives later events the node's new id.
+func (a *Agent) registering(id spar.NodeID) {
+	a.ring.Named(id)
+	a.deps.Log.Info("registering", "node", id, "lease", a.cfg.Lease)
+}
+
 // leave marks the node as leaving by its own transaction.
 func (a *Agent) leave(ctx context.Context) {
 	a.mu.Lock()
--- a/agent/failure_test.go
+++ b/agent/failure_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 
 	spar "sardinespar.example/spar"
+	"sardinespar.example/spar/config"
 	"sardinespar.example/spar/fault"
 )
 
@@ -51,6 +52,21 @@
 	}
 }
 
+// Guards against a baseline that can't be selected any more, or that assigns nothing because its
+// heartbeats reject the planner's transactions.
+func TestTableLeasesStaySelectable(t *testing.T) {
+	t.Parallel()
+
+	found := withCluster(t, setup{nodes: 8, lease: config.LeaseTable, seed: 6}, func(c *cluster) {
+		c.kill(4)
+
+		if !c.heldWithin(5 * time.Second) {
+			t.Errorf("slots without an owner after 5 s: %s", c.state())
+		}
+	})
+	qt.Assert(t, found, qt.HasLen, 0)
+}
+
 // Guards against a lost node that stays away, comes back under its old id, or admits on its return.
 func TestFrozenNodeReturnsUnderNewIncarnation(t *testing.T) {
 	t.Parallel()
