--- a/answer.go
+++ b/answer.go
@@ -13,6 +13,8 @@
 	Status   int
 	Detail   string
 	Owner    NodeID
+	// Token is the token that the caller may use for its next non-idempotent call.
+	Token string
 }
 
 // Completed returns the answer that carries a backend server's response. The receiver of the
@@ -42,6 +44,13 @@
 	return a
 }
 
+// WithToken returns a with the token for the caller's next call.
+func (a Answer) WithToken(token string) Answer {
+	a.Token = token
+
+	return a
+}
+
 // Close releases the response, if there is one.
 func (a Answer) Close() {
 	if a.Response != nil {
--- a/call.go
+++ b/call.go
@@ -1,6 +1,10 @@
 package spar
 
 import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
 	"net/http"
 	"slices"
 )
@@ -19,6 +23,42 @@
 	Deadline   Millis
 	Idempotent bool
 	Token      string
+	// Trial marks the one further attempt of a call that crashed a backend server.
+	Trial bool
+}
+
+// Request returns the call as a request to addr. The HTTP transport can't send it twice by itself:
+// it resends requests of safe methods, and any with the header Idempotency-Key, when a connection
+// breaks, and such a second run would escape the ledger and the quarantine.
+func (c Call) Request(ctx context.Context, addr string) (*http.Request, error) {
+	r, err := http.NewRequestWithContext(ctx, c.Method, "http://"+addr+c.URI, nil)
+	if err != nil {
+		return nil, fmt.Errorf("build request: %w", err)
+	}
+
+	r.Header = c.Header.Clone()
+	if r.Header == nil {
+		r.Header = http.Header{}
+	}
+
+	r.ContentLength = int64(len(c.Body))
+	r.Body = io.NopCloser(bytes.NewReader(c.Body))
+
+	return r, nil
+}
+
+// WithTrial returns c marked as the one further attempt after a crash.
+func (c Call) WithTrial() Call {
+	c.Trial = true
+
+	return c
+}
+
+// WithID returns c with an attempt's identifier.
+func (c Call) WithID(id string) Call {
+	c.ID = id
+
+	return c
 }
 
 // WithDeadline returns c with a deadline on the local clock.
--- a/outcome.go
+++ b/outcome.go
@@ -25,6 +25,10 @@
 	HeaderSlot     = "Spar-Slot"
 	HeaderEpoch    = "Spar-Epoch"
 	HeaderLoad     = "Spar-Load"
+	// HeaderStatus is the status of an answer whose body was not kept for resends.
+	HeaderStatus = "Spar-Status"
+	// HeaderTrial marks the one further attempt of a call that crashed a backend server.
+	HeaderTrial = "Spar-Trial"
 )
 
 // Reason says in one word why a request was not answered by a backend server.
@@ -48,6 +52,11 @@
 	ReasonUnreachable  Reason = "unreachable"
 	ReasonTokenExpired Reason = "token_expired"
 	ReasonQuarantined  Reason = "quarantined"
+	ReasonMethod       Reason = "method"
+	ReasonNotKept      Reason = "not_kept"
+	// ReasonCrashed says that the backend server crashed on the call, which may have one further
+	// attempt if it is idempotent.
+	ReasonCrashed Reason = "crashed"
 )
 
 // Retryable reports whether the entry node may send the request again by itself.
