Run non-idempotent calls at most once and give whole answers

Cause: a resend ran again; a caller that left canceled its run; the HTTP transport itself sent a request with the header Idempotency-Key again when a reused connection broke; a forwarded refusal repeated its prefix; a slow caller held a slot of the backend server; an answer to another request on the second hop was passed on.

Change: - guard begins a record before it writes to the backend server, keeps the answer for resends, lets two resends at once share one run, and waits for a run although its caller has gone. Epoch and base are read once, and checked again after admission. Runs on backend servers without grant checks are canceled when the lease lapses or the slot is reassigned. - guard reads answers at the backend server's speed, up to 1 MiB each and 64 MiB in all, and gives the permit back at their end. - route reports "not run" only if all attempts were not run; attempts have identifiers of their own, checked on both hops; input that can't be sent on is refused with a plain message. - route resumes a cut download once on another upstream, under the same strong validator. - crash holds back requests that crash backend servers on all nodes.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -14,6 +14,7 @@
 	spar "sardinespar.example/spar"
 	"sardinespar.example/spar/admit"
 	"sardinespar.example/spar/config"
+	"sardinespar.example/spar/crash"
 	"sardinespar.example/spar/event"
 	"sardinespar.example/spar/fleet"
 	"sardinespar.example/spar/guard"
@@ -62,6 +63,7 @@
 	guard   *guard.Guard
 	handler *route.Handler
 	lease   *leaseRef
+	crashes *crash.Quarantine
 
 	mu     sync.Mutex
 	member *fleet.Member
@@ -76,9 +78,14 @@
 	a.pool = peers.NewPool(deps.Dial, a.traffic)
 	a.spread = fleet.NewSync(a.replica, deps.Table, a.pool, deps.Clock, a.ring)
 	a.limiter = admit.NewFixed(deps.Clock, cfg.MaxQueue)
-	a.guard = guard.New(a.id, a.replica, a.lease, a.limiter, deps.HTTP, deps.Clock)
+	a.crashes = crash.New(a.id, a.replica, deps.Table, a.pool, deps.Clock, deps.Wall, a.ring)
+	a.guard = guard.New(a.id, a.replica, a.lease, a.limiter, deps.HTTP, deps.Clock).WithQuarantine(a.crashes)
 	a.handler = route.New(a.id, a.replica, a.guard, deps.HTTP, pick.NewRobin(), deps.Clock)
 
+	if cfg.Resume {
+		a.handler.WithResume(a.ring)
+	}
+
 	return a
 }
 
@@ -86,6 +93,7 @@
 func (a *Agent) Run(ctx context.Context, ln Listeners) error {
 	mux := peers.NewMux()
 	a.spread.Register(mux)
+	a.crashes.Register(mux)
 
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
@@ -95,6 +103,7 @@
 	local := a.serveHTTP(ln.Local, a.localMux(background))
 
 	a.wg.Go(func() { a.spread.Run(background) })
+	a.wg.Go(func() { a.crashes.Run(background) })
 	a.wg.Go(func() {
 		if err := server.Serve(background, ln.Peer); err != nil {
 			a.deps.Log.Error("peer listener stopped", "err", err)
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -10,7 +10,9 @@
 
 	spar "sardinespar.example/spar"
 	"sardinespar.example/spar/admit"
+	"sardinespar.example/spar/crash"
 	"sardinespar.example/spar/fleet"
+	"sardinespar.example/spar/ledger"
 )
 
 // Backend is the backend server beside this node as it announced itself.
@@ -27,18 +29,36 @@
 	limiter admit.Limiter
 	client  http.RoundTripper
 	clock   spar.Clock
+	ledger  *ledger.Ledger
+	crashes *crash.Quarantine
+	memory  memory
 
 	backend atomic.Pointer[Backend]
 	closing atomic.Bool
 	flight  sync.WaitGroup
 }
 
-// New returns a guard without a backend server.
+// New returns a guard without a backend server, with an empty ledger and no quarantine.
 func New(
 	self func() spar.NodeID, r *fleet.Replica, l spar.Lease, limiter admit.Limiter,
 	client http.RoundTripper, clock spar.Clock,
 ) *Guard {
-	return &Guard{self: self, replica: r, lease: l, limiter: limiter, client: client, clock: clock}
+	return &Guard{
+		self: self, replica: r, lease: l, limiter: limiter, client: client, clock: clock,
+		ledger: ledger.New(clock, ledger.DefaultLimits()),
+	}
+}
+
+// WithQuarantine sets the quarantine of crashing calls, before the guard is used.
+func (g *Guard) WithQuarantine(q *crash.Quarantine) *Guard {
+	g.crashes = q
+
+	return g
+}
+
+// Ledger returns the records of the slots that this node owns.
+func (g *Guard) Ledger() *ledger.Ledger {
+	return g.ledger
 }
 
 // Attach sets the backend server, or takes it away if b is nil.
@@ -64,7 +84,8 @@
 	close(done)
 }
 
-// Serve runs a call or says why not.
+// Serve runs a call or says why not. A non-idempotent run is waited for even if ctx ends, so that
+// what counts calls in flight counts it too.
 func (g *Guard) Serve(ctx context.Context, c spar.Call) spar.Answer {
 	g.flight.Add(1)
 
@@ -84,7 +105,21 @@
 		return spar.NotRun(http.StatusServiceUnavailable, spar.ReasonLeaving, "no backend server takes calls here")
 	}
 
-	if refusal, ok := g.check(c); !ok {
+	a, refusal, ok := g.check(c)
+	if !ok {
+		return refusal
+	}
+
+	if !c.Idempotent {
+		return g.serveOnce(ctx, *b, c, a)
+	}
+
+	return g.admit(ctx, *b, c, a)
+}
+
+// admit runs the call when there is room for it, if its slot is then still assigned as before.
+func (g *Guard) admit(ctx context.Context, b Backend, c spar.Call, before spar.Assignment) spar.Answer {
+	if refusal, ok := g.allowed(c); !ok {
 		return refusal
 	}
 
@@ -93,34 +128,54 @@
 		return shed(reason)
 	}
 
-	if refusal, ok := g.check(c); !ok {
+	a, refusal, ok := g.check(c)
+	if ok && a != before {
+		refusal, ok = notOwner(c), false
+	}
+
+	if ok {
+		refusal, ok = g.allowed(c)
+	}
+
+	if !ok {
 		done(0, true)
 
 		return refusal
 	}
 
-	return g.run(ctx, *b, c, done)
+	if g.crashes != nil && g.crashes.Late(ctx, c) {
+		c = c.WithTrial()
+	}
+
+	return g.run(ctx, b, c, a, done)
 }
 
-// check tells whether this node may run the call at this moment.
-func (g *Guard) check(c spar.Call) (spar.Answer, bool) {
+// check tells whether this node may run the call at this moment, and as which owner.
+func (g *Guard) check(c spar.Call) (spar.Assignment, spar.Answer, bool) {
+	var none spar.Assignment
+
 	if g.clock.Now() >= c.Deadline {
-		return spar.NotRun(http.StatusGatewayTimeout, spar.ReasonDeadline, "deadline passed before the run"), false
+		return none, spar.NotRun(http.StatusGatewayTimeout, spar.ReasonDeadline, "deadline passed before the run"), false
 	}
 
 	if c.Service.Mode != spar.ModeKeyed {
-		return spar.Answer{}, true
+		return none, spar.Answer{}, true
 	}
 
-	if g.replica.View().Assignment(c.Service, c.Slot).Owner != g.self() {
-		return spar.NotRun(http.StatusServiceUnavailable, spar.ReasonNotOwner, "slot %d is not owned here", c.Slot), false
+	a := g.replica.View().Assignment(c.Service, c.Slot)
+	if a.Owner != g.self() {
+		return none, notOwner(c), false
 	}
 
 	if g.clock.Now() >= g.lease.Until() {
-		return spar.NotRun(http.StatusServiceUnavailable, spar.ReasonNoLease, "this node holds no lease"), false
+		return none, spar.NotRun(http.StatusServiceUnavailable, spar.ReasonNoLease, "this node holds no lease"), false
 	}
 
-	return spar.Answer{}, true
+	return a, spar.Answer{}, true
+}
+
+func notOwner(c spar.Call) spar.Answer {
+	return spar.NotRun(http.StatusServiceUnavailable, spar.ReasonNotOwner, "slot %d is not owned here", c.Slot)
 }
 
 func shed(reason spar.Reason) spar.Answer {
--- /dev/null
+++ b/guard/once.go
@@ -0,0 +1,193 @@
+package guard
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+
+	spar "sardinespar.example/spar"
+	"sardinespar.example/spar/ledger"
+)
+
+// serveOnce runs a non-idempotent call if its token has not run before.
+func (g *Guard) serveOnce(ctx context.Context, b Backend, c spar.Call, a spar.Assignment) spar.Answer {
+	if c.Service.Mode != spar.ModeKeyed {
+		return spar.NotRun(http.StatusMethodNotAllowed, spar.ReasonMethod,
+			"service %s takes idempotent methods only", c.Service.Name)
+	}
+
+	if c.Token == "" {
+		return spar.NotRun(http.StatusPreconditionRequired, spar.ReasonNoToken,
+			"%s needs the token in %s", c.Method, spar.HeaderToken).WithToken(g.issue(c, a))
+	}
+
+	t, err := ledger.ParseToken(c.Token)
+	if err != nil {
+		return spar.NotRun(http.StatusBadRequest, spar.ReasonBadRequest, "%v", err)
+	}
+
+	for {
+		e := g.ledger.Begin(c.Service.Name, c.Slot, a, c.Key, t, digestOf(c))
+
+		switch e.Verdict {
+		case ledger.Run:
+			return g.runOnce(ctx, b, c, a, e.Run)
+		case ledger.Recorded:
+			return g.replay(e.Result).WithToken(g.issue(c, a))
+		case ledger.Unknown:
+			return spar.Uncertain(http.StatusConflict, spar.ReasonTokenExpired, "%s", e.Detail)
+		case ledger.Foreign:
+			return spar.NotRun(http.StatusBadRequest, spar.ReasonBadRequest, "%s", e.Detail)
+		case ledger.Wait:
+			if !g.await(ctx, c, e.Done) {
+				return spar.Uncertain(http.StatusGatewayTimeout, spar.ReasonDeadline, "the run is still in progress")
+			}
+		}
+	}
+}
+
+func (g *Guard) issue(c spar.Call, a spar.Assignment) string {
+	return g.ledger.Issue(c.Service.Name, c.Slot, a, c.Key).String()
+}
+
+// await waits for the end of another call's run.
+func (g *Guard) await(ctx context.Context, c spar.Call, done <-chan struct{}) bool {
+	t := g.clock.Timer(c.Deadline - g.clock.Now())
+	defer t.Stop()
+
+	select {
+	case <-done:
+		return true
+	case <-t.C:
+		return false
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// runOnce runs the call to its end, whether or not the caller is still there, and keeps the result.
+func (g *Guard) runOnce(
+	ctx context.Context, b Backend, c spar.Call, a spar.Assignment, r *ledger.Running,
+) spar.Answer {
+	ended := false
+
+	// A panic on the way must leave the record as unknown, not in progress.
+	defer func() {
+		if !ended {
+			r.Unknown()
+		}
+	}()
+
+	answer := g.admit(context.WithoutCancel(ctx), b, c, a)
+	ended = true
+
+	switch answer.Outcome {
+	case spar.OutcomeNotRun:
+		r.Abort()
+
+		return answer
+	case spar.OutcomeUnknown:
+		r.Unknown()
+
+		return answer
+	default:
+		return g.keep(answer, r).WithToken(g.issue(c, a))
+	}
+}
+
+// keep reads the answer as far as it may be kept. A longer one is passed on while the record stays
+// in progress until the body has ended.
+func (g *Guard) keep(a spar.Answer, r *ledger.Running) spar.Answer {
+	resp := a.Response
+	limit := int64(ledger.DefaultLimits().Body)
+	head, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
+	if err != nil {
+		r.Unknown()
+		a.Close()
+
+		return spar.Uncertain(http.StatusBadGateway, spar.ReasonBroken, "answer of backend server was cut: %v", err)
+	}
+
+	if int64(len(head)) <= limit {
+		r.Complete(ledger.Result{Status: resp.StatusCode, Header: resp.Header, Body: head, Kept: true})
+		a.Close()
+		resp.Body = io.NopCloser(bytes.NewReader(head))
+
+		return a
+	}
+
+	resp.Body = &tail{
+		Reader: io.MultiReader(bytes.NewReader(head), resp.Body), body: resp.Body, run: r, status: resp.StatusCode,
+	}
+
+	return a
+}
+
+// tail is the body of an answer that is too large to keep. Its end ends the record.
+type tail struct {
+	io.Reader
+
+	body   io.Closer
+	run    *ledger.Running
+	status int
+}
+
+func (t *tail) Read(p []byte) (int, error) {
+	n, err := t.Reader.Read(p)
+
+	switch {
+	case errors.Is(err, io.EOF):
+		t.run.Complete(ledger.Result{Status: t.status})
+	case err != nil:
+		t.run.Unknown()
+	}
+
+	return n, err
+}
+
+// Close reads the rest if the caller did not take it, so that the run ends and is recorded.
+func (t *tail) Close() error {
+	_, _ = io.Copy(io.Discard, struct{ io.Reader }{t})
+	t.run.Unknown()
+
+	return t.body.Close()
+}
+
+// replay returns the answer to a resend. An answer that was not kept is named as such, with the
+// status that the first caller got.
+func (g *Guard) replay(r ledger.Result) spar.Answer {
+	resp := &http.Response{
+		StatusCode: r.Status, Header: r.Header, Body: io.NopCloser(bytes.NewReader(r.Body)),
+		ContentLength: int64(len(r.Body)),
+	}
+
+	if r.Kept {
+		return spar.Completed(resp, g.self())
+	}
+
+	const text = "completed: the call ran; its answer was too large to be kept\n"
+
+	resp.StatusCode = http.StatusGone
+	resp.Header = http.Header{}
+	resp.Header.Set("Content-Type", "text/plain; charset=utf-8")
+	resp.Header.Set(spar.HeaderReason, string(spar.ReasonNotKept))
+	resp.Header.Set(spar.HeaderStatus, strconv.Itoa(r.Status))
+	resp.Body = io.NopCloser(bytes.NewReader([]byte(text)))
+	resp.ContentLength = int64(len(text))
+
+	return spar.Completed(resp, g.self())
+}
+
+// digestOf tells a request from others that use the same token.
+func digestOf(c spar.Call) uint64 {
+	d := xxhash.New()
+	_, _ = d.WriteString(c.Method + " " + c.URI + "\n")
+	_, _ = d.Write(c.Body)
+
+	return d.Sum64()
+}
--- a/guard/run.go
+++ b/guard/run.go
@@ -1,12 +1,14 @@
 package guard
 
 import (
-	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"net/http/httptrace"
+	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 
@@ -14,68 +16,138 @@
 	"sardinespar.example/spar/admit"
 )
 
-// run sends the call to the backend server. The permit is given back when the response's body is
-// closed.
-func (g *Guard) run(ctx context.Context, b Backend, c spar.Call, done admit.Done) spar.Answer {
+// errLapsed cancels a run whose slot this node may no longer own.
+var errLapsed = errors.New("lease lapsed or slot was reassigned")
+
+// run sends the call to the backend server. The permit is given back when the response's body has
+// been read.
+func (g *Guard) run(
+	ctx context.Context, b Backend, c spar.Call, a spar.Assignment, done admit.Done,
+) spar.Answer {
 	began := g.clock.Now()
 	ctx, cancel := context.WithTimeout(ctx, (c.Deadline - began).Duration())
-	finish := func(ok bool) {
-		cancel()
+	ctx, cancelCause := context.WithCancelCause(ctx)
+	finish := sync.OnceFunc(func() { cancelCause(nil); cancel() })
+	end := func(ok bool) {
+		finish()
 		done(g.clock.Now()-began, ok)
 	}
 
+	if c.Service.Mode == spar.ModeKeyed && !b.ChecksGrants {
+		w := &watch{guard: g, call: c, assignment: a, cancel: cancelCause}
+		go w.loop(ctx)
+	}
+
 	var sent atomic.Bool
 
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
 	})
 
-	resp, err := g.client.RoundTrip(g.request(ctx, b, c, began))
+	resp, err := g.client.RoundTrip(g.request(traced, b, c, a, began))
 	if err != nil {
-		finish(false)
+		answer := failed(ctx, sent.Load(), err)
 
-		return failed(sent.Load(), err)
+		end(false)
+
+		if answer.Reason == spar.ReasonBroken && g.crashed(ctx, b, c) {
+			answer.Reason = spar.ReasonCrashed
+		}
+
+		return answer
 	}
 
-	if resp.Header.Get(spar.HeaderRequest) != c.ID {
+	if refusal, ok := accepted(resp, c); !ok {
 		_ = resp.Body.Close()
-		finish(false)
 
-		return spar.Uncertain(http.StatusBadGateway, spar.ReasonBroken, "backend server answered another request")
+		end(refusal.Outcome == spar.OutcomeNotRun)
+
+		return refusal
 	}
 
-	if spar.Outcome(resp.Header.Get(spar.HeaderOutcome)) == spar.OutcomeNotRun {
-		_ = resp.Body.Close()
-		finish(true)
+	if c.Trial && g.crashes != nil {
+		g.crashes.Clear(c)
+	}
 
-		return spar.NotRun(resp.StatusCode, spar.ReasonShed, "backend server refused the call")
+	for name := range resp.Header {
+		if strings.HasPrefix(name, "Spar-") && name != spar.HeaderLoad {
+			resp.Header.Del(name)
+		}
 	}
 
-	resp.Body = onClose(resp.Body, func() { finish(true) })
+	if err := g.unload(resp, finish, end); err != nil {
+		return spar.Uncertain(http.StatusBadGateway, spar.ReasonBroken, "answer of backend server was cut: %v", err)
+	}
 
 	return spar.Completed(resp, g.self())
 }
 
-func failed(sent bool, err error) spar.Answer {
-	if !sent {
-		return spar.NotRun(http.StatusServiceUnavailable, spar.ReasonUnreachable, "connect to backend server: %v", err)
+// accepted checks that the response answers this call, can be known to be whole, and is no refusal.
+func accepted(resp *http.Response, c spar.Call) (spar.Answer, bool) {
+	if resp.Header.Get(spar.HeaderRequest) != c.ID {
+		return spar.Uncertain(http.StatusBadGateway, spar.ReasonBroken, "backend server answered another request"), false
+	}
+
+	if spar.Outcome(resp.Header.Get(spar.HeaderOutcome)) == spar.OutcomeNotRun {
+		return refused(resp.StatusCode), false
 	}
 
-	return spar.Uncertain(http.StatusBadGateway, spar.ReasonBroken, "call of backend server: %v", err)
+	if resp.ContentLength < 0 && !slices.Contains(resp.TransferEncoding, "chunked") && c.Method != http.MethodHead {
+		return spar.Uncertain(http.StatusBadGateway, spar.ReasonBroken,
+			"answer of backend server has neither length nor chunks, so a cut can't be seen"), false
+	}
+
+	return spar.Answer{}, true
+}
+
+// refused translates a backend server's own refusal. Its 409 says that the epoch was stale, which
+// callers must not take for the 409 of an unknown run.
+func refused(status int) spar.Answer {
+	switch status {
+	case http.StatusConflict:
+		return spar.NotRun(http.StatusServiceUnavailable, spar.ReasonNotOwner, "backend server has seen a newer owner")
+	case http.StatusGatewayTimeout:
+		return spar.NotRun(status, spar.ReasonDeadline, "deadline passed before the run")
+	default:
+		return spar.NotRun(http.StatusServiceUnavailable, spar.ReasonShed, "backend server refused the call")
+	}
 }
 
-func (g *Guard) request(ctx context.Context, b Backend, c spar.Call, now spar.Millis) *http.Request {
-	req, err := http.NewRequestWithContext(ctx, c.Method, "http://"+b.Addr+c.URI, bytes.NewReader(c.Body))
+func failed(ctx context.Context, sent bool, err error) spar.Answer {
+	late := errors.Is(ctx.Err(), context.DeadlineExceeded)
+
+	switch {
+	case !sent && late:
+		return spar.NotRun(http.StatusGatewayTimeout, spar.ReasonDeadline, "deadline passed before the run")
+	case !sent:
+		return spar.NotRun(http.StatusServiceUnavailable, spar.ReasonUnreachable, "connect to backend server: %v", err)
+	case late:
+		return spar.Uncertain(http.StatusGatewayTimeout, spar.ReasonDeadline, "backend server did not answer in time")
+	case errors.Is(context.Cause(ctx), errLapsed):
+		return spar.Uncertain(http.StatusBadGateway, spar.ReasonNoLease, "run was canceled: %v", errLapsed)
+	case ctx.Err() != nil:
+		return spar.Uncertain(http.StatusBadGateway, spar.ReasonDeadline, "caller has gone")
+	default:
+		return spar.Uncertain(http.StatusBadGateway, spar.ReasonBroken, "call of backend server: %v", err)
+	}
+}
+
+func (g *Guard) request(
+	ctx context.Context, b Backend, c spar.Call, a spar.Assignment, now spar.Millis,
+) *http.Request {
+	req, err := c.Request(ctx, b.Addr)
 	if err != nil {
 		panic("guard: checked call can't be made a request: " + err.Error())
 	}
 
-	req.Header = c.Header.Clone()
 	req.Header.Set(spar.HeaderRequest, c.ID)
 	req.Header.Set(spar.HeaderDeadline, strconv.FormatInt(int64(g.deadline(b, c)-now), 10))
 
+	if c.Token != "" {
+		req.Header.Set(spar.HeaderToken, c.Token)
+	}
+
 	if c.Service.Mode == spar.ModeKeyed {
-		a := g.replica.View().Assignment(c.Service, c.Slot)
 		req.Header.Set(spar.HeaderKey, c.Key)
 		req.Header.Set(spar.HeaderSlot, strconv.Itoa(int(c.Slot)))
 		req.Header.Set(spar.HeaderEpoch, strconv.FormatInt(int64(a.Epoch), 10))
@@ -94,6 +166,45 @@
 	return min(c.Deadline, g.lease.Until())
 }
 
+// watch cancels a run when the lease lapses or the slot is reassigned.
+type watch struct {
+	guard      *Guard
+	call       spar.Call
+	assignment spar.Assignment
+	cancel     context.CancelCauseFunc
+}
+
+func (w *watch) loop(ctx context.Context) {
+	for {
+		changed := w.guard.replica.Changed()
+		left := w.guard.lease.Until() - w.guard.clock.Now()
+
+		if left <= 0 || w.guard.replica.View().Assignment(w.call.Service, w.call.Slot) != w.assignment {
+			w.cancel(errLapsed)
+
+			return
+		}
+
+		if !w.wait(ctx, changed, left) {
+			return
+		}
+	}
+}
+
+func (w *watch) wait(ctx context.Context, changed <-chan struct{}, left spar.Millis) bool {
+	t := w.guard.clock.Timer(left)
+	defer t.Stop()
+
+	select {
+	case <-ctx.Done():
+		return false
+	case <-changed:
+	case <-t.C:
+	}
+
+	return true
+}
+
 // closer calls a function once when it is closed.
 type closer struct {
 	io.ReadCloser
--- a/route/forward.go
+++ b/route/forward.go
@@ -3,10 +3,12 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
+	"strings"
 	"sync/atomic"
 
 	spar "sardinespar.example/spar"
@@ -14,6 +16,10 @@
 
 const maxRefusalBytes = 4096
 
+// answerGrace is how much longer than the deadline an entry node waits for another node, which knows
+// better whether the call ran.
+const answerGrace spar.Millis = 20
+
 // forward sends the call to the node that serves it.
 func (h *Handler) forward(ctx context.Context, n spar.Node, c spar.Call) spar.Answer {
 	now := h.clock.Now()
@@ -21,22 +27,21 @@
 		return spar.NotRun(http.StatusGatewayTimeout, spar.ReasonDeadline, "deadline passed before the run")
 	}
 
-	ctx, cancel := context.WithTimeout(ctx, (c.Deadline - now).Duration())
+	ctx, cancel := context.WithTimeout(ctx, (c.Deadline + answerGrace - now).Duration())
 
 	var sent atomic.Bool
 
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
 	})
 
-	req, err := http.NewRequestWithContext(ctx, c.Method, "http://"+n.HTTPAddr+c.URI, bytes.NewReader(c.Body))
+	req, err := c.Request(traced, n.HTTPAddr)
 	if err != nil {
 		cancel()
 
 		return spar.NotRun(http.StatusBadRequest, spar.ReasonBadRequest, "request can't be sent on: %v", err)
 	}
 
-	req.Header = c.Header.Clone()
 	req.Header.Set(spar.HeaderHop, "1")
 	req.Header.Set(spar.HeaderRequest, c.ID)
 	req.Header.Set(spar.HeaderDeadline, strconv.FormatInt(max(1, int64(c.Deadline-now)), 10))
@@ -49,28 +54,47 @@
 		req.Header.Set(spar.HeaderToken, c.Token)
 	}
 
+	if c.Trial {
+		req.Header.Set(spar.HeaderTrial, "1")
+	}
+
 	resp, err := h.client.RoundTrip(req)
 	if err != nil {
+		late := errors.Is(ctx.Err(), context.DeadlineExceeded)
+
 		cancel()
 
-		return lost(sent.Load(), n, err)
+		return lost(sent.Load(), late, n, err)
 	}
 
 	resp.Body = cancelOnClose{ReadCloser: resp.Body, cancel: cancel}
 
-	return received(resp, n)
+	return received(resp, n, c)
 }
 
-func lost(sent bool, n spar.Node, err error) spar.Answer {
-	if !sent {
+func lost(sent, late bool, n spar.Node, err error) spar.Answer {
+	switch {
+	case !sent && late:
+		return spar.NotRun(http.StatusGatewayTimeout, spar.ReasonDeadline, "deadline passed before the run")
+	case !sent:
 		return spar.NotRun(http.StatusServiceUnavailable, spar.ReasonUnreachable, "connect to node %s: %v", n.ID, err)
+	case late:
+		return spar.Uncertain(http.StatusGatewayTimeout, spar.ReasonDeadline, "node %s did not answer in time", n.ID).
+			WithOwner(n.ID)
+	default:
+		return spar.Uncertain(http.StatusBadGateway, spar.ReasonBroken, "node %s: %v", n.ID, err).WithOwner(n.ID)
 	}
-
-	return spar.Uncertain(http.StatusBadGateway, spar.ReasonBroken, "node %s: %v", n.ID, err).WithOwner(n.ID)
 }
 
 // received reads another node's answer.
-func received(resp *http.Response, n spar.Node) spar.Answer {
+func received(resp *http.Response, n spar.Node, c spar.Call) spar.Answer {
+	if resp.Header.Get(spar.HeaderRequest) != c.ID {
+		_ = resp.Body.Close()
+
+		return spar.Uncertain(http.StatusBadGateway, spar.ReasonBroken, "node %s answered another request", n.ID).
+			WithOwner(n.ID)
+	}
+
 	outcome := spar.Outcome(resp.Header.Get(spar.HeaderOutcome))
 
 	switch outcome {
@@ -83,7 +107,8 @@
 		return spar.Answer{
 			Outcome: outcome, Status: resp.StatusCode, Owner: n.ID,
 			Reason: spar.Reason(resp.Header.Get(spar.HeaderReason)),
-			Detail: string(bytes.TrimSpace(detail)),
+			Detail: strings.TrimPrefix(string(bytes.TrimSpace(detail)), refusalPrefix(outcome)),
+			Token:  resp.Header.Get(spar.HeaderToken),
 		}
 	default:
 		_ = resp.Body.Close()
--- a/route/handler.go
+++ b/route/handler.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	spar "sardinespar.example/spar"
 	"sardinespar.example/spar/fleet"
@@ -16,6 +16,8 @@
 	ownerWait spar.Millis = 3000
 	// retryPause is the wait before a call is sent again when nothing changed in between.
 	retryPause spar.Millis = 20
+	// readTimeout bounds the reading of a caller's body.
+	readTimeout = 10 * time.Second
 )
 
 // Server runs a call on the backend server beside this node.
@@ -31,6 +33,8 @@
 	client  http.RoundTripper
 	picker  pick.Picker
 	clock   spar.Clock
+	// resumes takes the events of resumed downloads; nil turns resuming off.
+	resumes spar.Recorder
 }
 
 // New returns the handler of one node.
@@ -41,54 +45,100 @@
 	return &Handler{self: self, replica: r, local: local, client: client, picker: picker, clock: clock}
 }
 
+// WithResume turns the resuming of cut downloads on, before the handler is used.
+func (h *Handler) WithResume(r spar.Recorder) *Handler {
+	h.resumes = r
+
+	return h
+}
+
 // ServeHTTP answers a caller, or another node if the request has the hop header.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	c, refusal, ok := Parse(h.replica.View(), r, h.clock.Now())
+	arrived := h.clock.Now()
+	conn := http.NewResponseController(w)
+
+	// The deadline must be gone when the handler goes on: its end would look like a caller that left.
+	_ = conn.SetReadDeadline(time.Now().Add(readTimeout))
+	c, refusal, ok := Parse(h.replica.View(), r, arrived)
+	_ = conn.SetReadDeadline(time.Time{})
+
 	if !ok {
-		h.write(w, refusal, 0)
+		h.write(w, refusal, "", 0)
 
 		return
 	}
 
 	if r.Header.Get(spar.HeaderHop) != "" {
-		h.write(w, h.local.Serve(r.Context(), c), 1)
+		h.write(w, h.local.Serve(r.Context(), c), c.ID, 1)
 
 		return
 	}
 
-	a, attempts := h.send(r.Context(), c)
-	h.write(w, a, attempts)
+	a, attempts := h.send(r.Context(), c, nil)
+	h.write(w, h.resumable(r.Context(), c, a), c.ID, attempts)
 }
 
-// send sends the call until it was run, was refused for good, or its time is over.
-func (h *Handler) send(ctx context.Context, c spar.Call) (spar.Answer, int) {
+// send sends the call until it was run, was refused for good, or its time is over. Nodes in tried
+// are left out where the choice is free.
+func (h *Handler) send(ctx context.Context, c spar.Call, tried []spar.NodeID) (spar.Answer, int) {
 	patience := min(c.Deadline, h.clock.Now()+ownerWait)
+	attempts := 0
 
-	var tried []spar.NodeID
+	// unsure is the first attempt whose outcome is unknown: it decides the call's outcome unless a
+	// later attempt completes.
+	var unsure *spar.Answer
 
-	for attempts := 1; ; attempts++ {
+	for {
 		changed := h.replica.Changed()
 
 		n, a, ok := h.target(c, tried)
 		if ok {
-			a = h.attempt(ctx, n, c)
+			attempts++
+			a = h.attempt(ctx, n, c.WithID(c.ID+"."+strconv.Itoa(attempts)))
 			tried = append(tried, n.ID)
 		}
 
-		if a.Outcome != spar.OutcomeNotRun || !again(a) || h.clock.Now() >= patience {
-			return a, attempts
+		if !again(c, a, unsure != nil) || h.clock.Now() >= patience {
+			return final(a, unsure), attempts
 		}
 
 		a.Close()
 
+		if a.Outcome == spar.OutcomeUnknown {
+			unsure = &a
+			c.Trial = a.Reason == spar.ReasonCrashed
+		}
+
 		if !h.pause(ctx, changed) {
-			return spar.NotRun(http.StatusServiceUnavailable, spar.ReasonDeadline, "caller has gone"), attempts
+			gone := spar.NotRun(http.StatusServiceUnavailable, spar.ReasonDeadline, "caller has gone")
+
+			return final(gone, unsure), attempts
 		}
 	}
 }
 
-func again(a spar.Answer) bool {
-	return a.Reason.Retryable() || a.Reason == spar.ReasonNoOwner
+// final returns the outcome of a whole call: not run only if no attempt is in doubt.
+func final(a spar.Answer, unsure *spar.Answer) spar.Answer {
+	if a.Outcome == spar.OutcomeNotRun && unsure != nil {
+		return *unsure
+	}
+
+	return a
+}
+
+// again reports whether the call may be sent again after an attempt's answer. An idempotent call
+// whose outcome is unknown has one further attempt.
+func again(c spar.Call, a spar.Answer, unsure bool) bool {
+	switch a.Outcome {
+	case spar.OutcomeNotRun:
+		return a.Reason.Retryable() || a.Reason == spar.ReasonNoOwner
+	case spar.OutcomeUnknown:
+		lost := a.Reason == spar.ReasonBroken || a.Reason == spar.ReasonCrashed || a.Reason == spar.ReasonNoLease
+
+		return c.Idempotent && !unsure && lost
+	default:
+		return false
+	}
 }
 
 func (h *Handler) pause(ctx context.Context, changed <-chan struct{}) bool {
@@ -146,54 +196,3 @@
 
 	return a
 }
-
-// write gives the caller an answer. A body that ends early aborts the caller's connection, so that
-// a cut answer never looks whole.
-func (h *Handler) write(w http.ResponseWriter, a spar.Answer, attempts int) {
-	defer a.Close()
-
-	out := w.Header()
-
-	if a.Response != nil {
-		for name, values := range a.Response.Header {
-			out[name] = values
-		}
-
-		for _, name := range hopHeaders {
-			out.Del(name)
-		}
-	}
-
-	out.Set(spar.HeaderOutcome, string(a.Outcome))
-	out.Set(spar.HeaderAttempts, strconv.Itoa(attempts))
-	out.Set(spar.HeaderOwner, string(a.Owner))
-
-	if n, ok := h.replica.View().Node(a.Owner); ok {
-		out.Set(spar.HeaderOwnerURL, "http://"+n.Value.HTTPAddr)
-	}
-
-	if a.Response == nil {
-		h.writeRefusal(w, a)
-
-		return
-	}
-
-	w.WriteHeader(a.Status)
-
-	if _, err := io.Copy(w, a.Response.Body); err != nil {
-		panic(http.ErrAbortHandler)
-	}
-}
-
-func (h *Handler) writeRefusal(w http.ResponseWriter, a spar.Answer) {
-	out := w.Header()
-	out.Set(spar.HeaderReason, string(a.Reason))
-	out.Set("Content-Type", "text/plain; charset=utf-8")
-
-	if a.Status == http.StatusServiceUnavailable || a.Status == http.StatusTooManyRequests {
-		out.Set("Retry-After", "1")
-	}
-
-	w.WriteHeader(a.Status)
-	_, _ = io.WriteString(w, string(a.Outcome)+": "+a.Detail+"\n")
-}
