Prove at-most-once runs, whole answers and the crash rule by tests

Cause: the requests path had no tests. They found, and this commit fixes: - A caller that sent its body too slowly held its connection for ever: the read deadline was removed before the server read on for the rest (TestSlowBody). - A body with a too large Content-Length was read before it was refused. - Downloads of a file that was in flight beside a crash were refused while it was suspected; the entry node now sends them again (TestResumeLosses). - An announcement with a malformed address or service name was accepted, and stopped a call later by a panic (TestParseAnnouncement). Idle connections of nodes now end after 3 minutes at the listener and after 1 minute at the caller's side.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -44,9 +44,12 @@
 }
 
 const (
-	drainTimeout   spar.Millis = 30_000
-	headerTimeout              = 10 * time.Second
-	maxHeaderBytes             = 64 << 10
+	drainTimeout  spar.Millis = 30_000
+	headerTimeout             = 10 * time.Second
+	// idleTimeout is longer than other nodes keep idle connections, so that they never send a request
+	// on one that is being closed.
+	idleTimeout    = 3 * time.Minute
+	maxHeaderBytes = 64 << 10
 )
 
 // Agent is one spard.
@@ -124,7 +127,9 @@
 }
 
 func (a *Agent) serveHTTP(ln net.Listener, h http.Handler) *http.Server {
-	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
+	s := &http.Server{
+		Handler: h, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: idleTimeout,
+	}
 	a.wg.Go(func() { _ = s.Serve(ln) })
 
 	return s
--- a/agent/announce.go
+++ b/agent/announce.go
@@ -3,9 +3,13 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"expvar"
 	"fmt"
+	"io"
 	"net/http"
+	"net/netip"
+	"regexp"
 
 	spar "sardinespar.example/spar"
 	"sardinespar.example/spar/fleet"
@@ -35,19 +39,47 @@
 	return spar.Service{Name: n.Service, Mode: n.Mode, Slots: n.SlotsOfService}
 }
 
+// maxCapacity bounds what a backend server may say it bears, which sizes queues and shares.
+const maxCapacity = 1 << 20
+
+// serviceName keeps names out of a row's key that would change its structure.
+var serviceName = regexp.MustCompile(`^[A-Za-z0-9_-]{1,64}$`)
+
+// ParseAnnouncement reads an announcement and checks it in full.
+func ParseAnnouncement(r io.Reader) (Announcement, error) {
+	var n Announcement
+
+	decoder := json.NewDecoder(r)
+	decoder.DisallowUnknownFields()
+
+	if err := decoder.Decode(&n); err != nil {
+		return Announcement{}, fmt.Errorf("announcement can't be read: %w", err)
+	}
+
+	if decoder.More() {
+		return Announcement{}, errors.New("announcement has data after its end")
+	}
+
+	if err := n.check(); err != nil {
+		return Announcement{}, err
+	}
+
+	return n, nil
+}
+
 // check returns what is wrong with an announcement.
 func (n Announcement) check() error {
 	switch {
-	case n.Service == "":
-		return fmt.Errorf("service must not be empty")
+	case !serviceName.MatchString(n.Service):
+		return errors.New("service must have 1 to 64 letters, digits, - or _")
 	case n.Mode != spar.ModeKeyed && n.Mode != spar.ModeAny:
 		return fmt.Errorf("mode %q: must be keyed or any", n.Mode)
 	case n.Mode == spar.ModeKeyed && (n.SlotsOfService < 1 || n.SlotsOfService > 1<<16):
 		return fmt.Errorf("slots_of_service %d: must be 1 to 65536", n.SlotsOfService)
-	case n.Addr == "":
-		return fmt.Errorf("addr must not be empty")
-	case n.Slots < 1 || n.Conns < 1:
-		return fmt.Errorf("slots and conns must be at least 1")
+	case !numericAddr(n.Addr):
+		return fmt.Errorf("addr %q: must be IP:PORT", n.Addr)
+	case n.Slots < 1 || n.Conns < 1 || n.Slots > maxCapacity || n.Conns > maxCapacity:
+		return fmt.Errorf("slots and conns must be 1 to %d", maxCapacity)
 	case n.State != StateUp && n.State != StateLeaving:
 		return fmt.Errorf("state %q: must be up or leaving", n.State)
 	default:
@@ -55,6 +87,12 @@
 	}
 }
 
+func numericAddr(addr string) bool {
+	a, err := netip.ParseAddrPort(addr)
+
+	return err == nil && a.Port() > 0 && a.Addr().Zone() == ""
+}
+
 func (a *Agent) localMux(ctx context.Context) http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET /debug/vars", expvar.Handler())
@@ -65,18 +103,8 @@
 
 // announce takes a backend server's announcement; the first one registers the node.
 func (a *Agent) announce(ctx context.Context, w http.ResponseWriter, r *http.Request) {
-	var n Announcement
-
-	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAnnouncementBytes))
-	decoder.DisallowUnknownFields()
-
-	if err := decoder.Decode(&n); err != nil {
-		http.Error(w, "announcement can't be read: "+err.Error(), http.StatusBadRequest)
-
-		return
-	}
-
-	if err := n.check(); err != nil {
+	n, err := ParseAnnouncement(http.MaxBytesReader(w, r.Body, maxAnnouncementBytes))
+	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 
 		return
--- a/cmd/spard/main.go
+++ b/cmd/spard/main.go
@@ -30,7 +30,10 @@
 	exitSettings = 2
 )
 
-const dialTimeout = 500 * time.Millisecond
+const (
+	dialTimeout     = 500 * time.Millisecond
+	idleConnTimeout = time.Minute
+)
 
 func main() {
 	app := kingpin.New("spard", "Routes callers' requests to the backend servers that own their keys.")
@@ -97,7 +100,7 @@
 			return d.DialContext(ctx, "tcp", addr)
 		},
 		HTTP: &http.Transport{
-			MaxIdleConnsPerHost: 256, DisableCompression: true,
+			MaxIdleConnsPerHost: 256, DisableCompression: true, IdleConnTimeout: idleConnTimeout,
 			DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		},
 		Log:         logger(cfg),
--- a/guard/crash.go
+++ b/guard/crash.go
@@ -25,7 +25,7 @@
 		return spar.NotRun(http.StatusUnprocessableEntity, spar.ReasonQuarantined,
 			"the request crashed backend servers and is held back"), false
 	case crash.Suspected:
-		return spar.NotRun(http.StatusServiceUnavailable, spar.ReasonQuarantined,
+		return spar.NotRun(http.StatusServiceUnavailable, spar.ReasonSuspected,
 			"the request may have crashed a backend server and is being tried on another"), false
 	default:
 		return spar.Answer{}, true
--- a/outcome.go
+++ b/outcome.go
@@ -52,6 +52,7 @@
 	ReasonUnreachable  Reason = "unreachable"
 	ReasonTokenExpired Reason = "token_expired"
 	ReasonQuarantined  Reason = "quarantined"
+	ReasonSuspected    Reason = "suspected"
 	ReasonMethod       Reason = "method"
 	ReasonNotKept      Reason = "not_kept"
 	// ReasonCrashed says that the backend server crashed on the call, which may have one further
@@ -62,7 +63,7 @@
 // Retryable reports whether the entry node may send the request again by itself.
 func (r Reason) Retryable() bool {
 	switch r {
-	case ReasonNotOwner, ReasonMoved, ReasonNoLease, ReasonLeaving, ReasonUnreachable:
+	case ReasonNotOwner, ReasonMoved, ReasonNoLease, ReasonLeaving, ReasonUnreachable, ReasonSuspected:
 		return true
 	default:
 		return false
--- a/route/handler.go
+++ b/route/handler.go
@@ -57,17 +57,19 @@
 	arrived := h.clock.Now()
 	conn := http.NewResponseController(w)
 
-	// The deadline must be gone when the handler goes on: its end would look like a caller that left.
 	_ = conn.SetReadDeadline(time.Now().Add(readTimeout))
-	c, refusal, ok := Parse(h.replica.View(), r, arrived)
-	_ = conn.SetReadDeadline(time.Time{})
 
+	c, refusal, ok := Parse(h.replica.View(), r, arrived)
 	if !ok {
+		// The deadline stays: the server reads on for the rest of a body before it answers.
 		h.write(w, refusal, "", 0)
 
 		return
 	}
 
+	// The deadline's end would look like a caller that left.
+	_ = conn.SetReadDeadline(time.Time{})
+
 	if r.Header.Get(spar.HeaderHop) != "" {
 		h.write(w, h.local.Serve(r.Context(), c), c.ID, 1)
 
--- /dev/null
+++ b/route/input_test.go
@@ -0,0 +1,169 @@
+package route_test
+
+import (
+	"bufio"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	spar "sardinespar.example/spar"
+	"sardinespar.example/spar/fleet"
+	"sardinespar.example/spar/route"
+)
+
+// Guards against input that harms the process, or that is refused without a clear status and a
+// plain, single message.
+func TestBadInput(t *testing.T) {
+	const head = " HTTP/1.1\r\nHost: x\r\n"
+
+	long := strings.Repeat("x", 50<<10)
+
+	for _, test := range []struct {
+		name   string
+		text   string
+		status int
+		want   string
+	}{
+		{"unknown service", "GET /nope/x" + head, 404, `not_run: unknown service "nope"` + "\n"},
+		{"no key", "GET /s/" + head, 400, "not_run: key must have .*\n"},
+		{"key can't be a header", "GET /s/a%0Db" + head, 400, "not_run: key must have .*\n"},
+		{"key would change on the way", "GET /s/%20a" + head, 400, "not_run: key must have .*\n"},
+		{"two keys", "GET /s/a" + head + "Spar-Key: a\r\nSpar-Key: b\r\n", 400, "not_run: Spar-Key is given .*\n"},
+		{"no deadline", "GET /s/a" + head + "Spar-Deadline-Ms: 0\r\n", 400, "not_run: Spar-Deadline-Ms must .*\n"},
+		{"absurd deadline", "GET /s/a" + head + "Spar-Deadline-Ms: 99999999999999999999\r\n", 400, "not_run: .*\n"},
+		{"signed deadline", "GET /s/a" + head + "Spar-Deadline-Ms: +5\r\n", 400, "not_run: .*\n"},
+		{"large header", "GET /s/a" + head + "X: " + long + "\r\n", 431, "not_run: request line and headers .*\n"},
+		{"large path", "GET /s/" + long + head, 431, "not_run: request line and headers .*\n"},
+		{"large body", "POST /s/a" + head + "Content-Length: 1048577\r\n", 413, "not_run: body has more .*\n"},
+		{"cut chunk", "POST /s/a" + head + "Transfer-Encoding: chunked\r\n\r\nzz\r\n", 400, "not_run: body can't .*\n"},
+		{"no token", "POST /s/a" + head, 428, "not_run: POST needs the token in Spar-Token\n"},
+		{"malformed token", "POST /s/a" + head + "Spar-Token: x\r\n", 400, "not_run: token must be .*\n"},
+		{"made-up token", "POST /s/a" + head + "Spar-Token: 9.1.1.0000000000000000\r\n", 400, "not_run: token is for .*\n"},
+		{"other slot's token", "POST /s/b" + head + "Spar-Token: TOKEN\r\n", 400, "not_run: token is for .*\n"},
+		{"other key's token", "POST /s/SAME" + head + "Spar-Token: TOKEN\r\n", 400, "not_run: token is for another key.*\n"},
+		{"method of mode any", "POST /f/a" + head, 405, "not_run: service f takes idempotent methods only\n"},
+		{"malformed line", "GET\r\n", 400, "400 Bad Request"},
+		{"malformed header", "GET /s/a" + head + "X\x00: y\r\n", 400, "400 Bad Request.*"},
+		{"hop without identifier", "GET /s/a" + head + "Spar-Hop: 1\r\n", 400, "not_run: forwarded request .*\n"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(fileNodes+3, false)
+				defer w.close()
+
+				_, _, _, token := w.ask(0, http.MethodPost, "/s/a/x", "", "")
+				text := strings.ReplaceAll(test.text, "TOKEN", token)
+				text = strings.ReplaceAll(text, "SAME", sameSlot("a"))
+
+				for via := range w.vms {
+					status, body := w.raw(t, via, text+"\r\n")
+					qt.Assert(t, status, qt.Equals, test.status)
+					qt.Assert(t, body, qt.Matches, test.want)
+				}
+
+				status, _, _, _ := w.ask(0, http.MethodGet, "/s/a", "", "")
+				qt.Assert(t, status, qt.Equals, http.StatusOK)
+			})
+		})
+	}
+}
+
+// sameSlot returns another key of a key's slot.
+func sameSlot(key string) string {
+	for i := 0; ; i++ {
+		if other := "k" + strconv.Itoa(i); keyed.SlotOf(other) == keyed.SlotOf(key) {
+			return other
+		}
+	}
+}
+
+// raw writes text to a node and reads its answer.
+func (w *world) raw(t *testing.T, via int, text string) (int, string) {
+	conn, err := w.net.dial(t.Context(), w.vms[via].http.addr)
+	qt.Assert(t, err, qt.IsNil)
+
+	defer conn.Close()
+
+	go func() { _, _ = io.WriteString(conn, text) }()
+
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	qt.Assert(t, err, qt.IsNil)
+
+	body, _ := io.ReadAll(resp.Body)
+
+	return resp.StatusCode, string(body)
+}
+
+// Guards against a body that comes so slowly that it holds the node's connection.
+func TestSlowBody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(fileNodes+1, false)
+		defer w.close()
+
+		began := time.Now()
+		status, body := w.raw(t, 0, "POST /s/a HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\nx")
+		qt.Assert(t, status, qt.Equals, http.StatusBadRequest)
+		qt.Assert(t, body, qt.Matches, "not_run: body can't be read: .*\n")
+		qt.Assert(t, time.Since(began), qt.Equals, 10*time.Second)
+	})
+}
+
+// Guards against a request that is accepted although it can't be sent on, which would stop the
+// process at the next hop.
+func FuzzParse(f *testing.F) {
+	r := fleet.NewReplica()
+	r.Merge([]spar.Row{
+		{Key: fleet.ServiceKey("s"), Value: fleet.Encode(keyed), Revision: 1},
+		{Key: fleet.ServiceKey("f"), Value: fleet.Encode(files), Revision: 1},
+	}, 1)
+
+	f.Add("GET /s/a HTTP/1.1\r\nHost: x\r\nSpar-Deadline-Ms: 5\r\n\r\n")
+	f.Add("POST http:s/%0a HTTP/1.1\r\nHost: x\r\nSpar-Key: k\r\nContent-Length: 1\r\n\r\nx")
+	f.Add("TRACE /f/?%zz HTTP/1.1\r\nHost: x\r\nConnection: X, Y\r\nSpar-Hop: 1\r\nSpar-Request: a\r\n\r\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		req, err := http.ReadRequest(bufio.NewReader(strings.NewReader(text)))
+		if err != nil {
+			return
+		}
+
+		c, _, ok := route.Parse(r.View(), req, 0)
+		if !ok {
+			return
+		}
+
+		sent, err := c.Request(t.Context(), "10.0.0.1:80")
+		if err != nil {
+			t.Fatalf("accepted call can't be sent on: %v", err)
+		}
+
+		sent.Header.Set(spar.HeaderKey, c.Key)
+
+		server := httptest.NewRecorder()
+		if err := sent.Write(server); err != nil {
+			t.Fatalf("accepted call can't be written: %v", err)
+		}
+
+		again, err := http.ReadRequest(bufio.NewReader(server.Body))
+		if err != nil || c.Service.Mode == spar.ModeKeyed && again.Header.Get(spar.HeaderKey) != c.Key {
+			t.Fatalf("call for key %q arrives as %v: %v", c.Key, again, err)
+		}
+	})
+}
+
+func FuzzDeadline(f *testing.F) {
+	f.Add("")
+	f.Add("600000")
+	f.Add("-1")
+	f.Fuzz(func(t *testing.T, text string) {
+		if d, ok := route.Deadline(text); ok && (d < 1 || d > route.DeadlineMost) {
+			t.Fatalf("%q read as %v", text, d)
+		}
+	})
+}
--- a/route/parse.go
+++ b/route/parse.go
@@ -76,10 +76,14 @@
 			spar.HeaderDeadline, float64(DeadlineMost))
 	}
 
+	if r.ContentLength > MaxBody {
+		r.Body = http.NoBody
+	}
+
 	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, MaxBody))
 
 	var large *http.MaxBytesError
-	if errors.As(err, &large) {
+	if r.ContentLength > MaxBody || errors.As(err, &large) {
 		return refuse(http.StatusRequestEntityTooLarge, spar.ReasonTooLarge, "body has more than %d bytes", MaxBody)
 	}
 
--- a/route/resume_test.go
+++ b/route/resume_test.go
@@ -1,10 +1,186 @@
 package route_test
 
 import (
+	"bytes"
+	"fmt"
+	"io"
 	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
 	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	spar "sardinespar.example/spar"
 )
 
-func serveFile(w http.ResponseWriter, r *http.Request, _ string) {
-	http.ServeContent(w, r, "", time.Time{}, nil)
+const (
+	fileBytes  = 1 << 20
+	chunkDelay = 30 * time.Millisecond
+)
+
+// file holds bytes that depend on their offset only.
+type file struct {
+	*bytes.Reader
+}
+
+func (f file) Read(p []byte) (int, error) {
+	time.Sleep(chunkDelay)
+
+	return f.Reader.Read(p[:min(len(p), 32<<10)])
+}
+
+func fileContent() []byte {
+	data := make([]byte, fileBytes)
+	for i := range data {
+		data[i] = byte(i*31 + i>>8)
+	}
+
+	return data
+}
+
+func (b *backend) serveFile(w http.ResponseWriter, r *http.Request, fault string) {
+	resumed := strings.Contains(r.Header.Get(spar.HeaderRequest), ".r")
+	if resumed && r.Header.Get("If-Range") == "" {
+		panic(http.ErrAbortHandler)
+	}
+
+	switch fault {
+	case "weak":
+		r.Header.Del("If-Range")
+		w.Header().Set("ETag", `W/"v"`)
+	case "differs, ignores If-Range":
+		r.Header.Del("If-Range")
+
+		fallthrough
+	case "differs":
+		w.Header().Set("ETag", fmt.Sprintf(`"v%d"`, b.node))
+	case "ignores range":
+		r.Header.Del("Range")
+
+		fallthrough
+	default:
+		w.Header().Set("ETag", `"v"`)
+	}
+
+	http.ServeContent(w, r, "", time.Time{}, file{bytes.NewReader(fileContent())})
+}
+
+// download reads a file and reports whether it came to a clean end.
+func (w *world) download(header http.Header) ([]byte, bool) {
+	req, _ := http.NewRequest(http.MethodGet, "http://"+w.vms[fileNodes].http.addr+"/f/file/x", nil)
+	req.Header = header.Clone()
+
+	resp, err := w.caller.RoundTrip(req)
+	if err != nil {
+		return nil, false
+	}
+	defer resp.Body.Close()
+
+	data, err := io.ReadAll(resp.Body)
+
+	return data, err == nil && resp.StatusCode < 300
+}
+
+// Guards against a download that is lost with its upstream, that costs more than two upstreams, and
+// against bytes of two files in one answer.
+func TestResume(t *testing.T) {
+	whole := fileContent()
+
+	for _, test := range []struct {
+		name   string
+		resume bool
+		losses int
+		header http.Header
+		want   []byte
+	}{
+		{"whole file", true, 1, http.Header{"If-None-Match": {`"other"`}}, whole},
+		{"range", true, 1, http.Header{"Range": {"bytes=1000-999999"}}, whole[1000:1000000]},
+		{"end of file", true, 1, http.Header{"Range": {"bytes=-900000"}}, whole[fileBytes-900000:]},
+		{"no loss", true, 0, http.Header{"Range": {"bytes=5-9"}}, whole[5:10]},
+		{"other validator", true, 1, http.Header{"X-Fault": {"differs"}}, nil},
+		{"other validator in a part", true, 1, http.Header{"X-Fault": {"differs, ignores If-Range"}}, nil},
+		{"weak validator", true, 1, http.Header{"X-Fault": {"weak"}}, nil},
+		{"upstream without ranges", true, 1, http.Header{"X-Fault": {"ignores range"}}, nil},
+		{"second loss", true, 2, http.Header{}, nil},
+		{"baseline", false, 1, http.Header{}, nil},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(fileNodes+1, test.resume)
+				defer w.close()
+
+				lost := make(chan struct{})
+
+				go func() {
+					defer close(lost)
+
+					for range test.losses {
+						time.Sleep(400 * time.Millisecond)
+						w.vms[w.runs.latest()].backend.crash()
+					}
+				}()
+
+				data, ok := w.download(test.header)
+				<-lost
+
+				qt.Assert(t, ok, qt.Equals, test.want != nil)
+
+				if ok {
+					qt.Assert(t, bytes.Equal(data, test.want), qt.IsTrue)
+				} else {
+					qt.Assert(t, bytes.HasPrefix(whole, data), qt.IsTrue)
+				}
+			})
+		})
+	}
+}
+
+// Measures the downloads lost while one upstream is killed and restarted, and guards against any
+// loss with resuming.
+func TestResumeLosses(t *testing.T) {
+	lost := map[bool]int{}
+
+	for _, resume := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(fileNodes+1, resume)
+			defer w.close()
+
+			var (
+				all sync.WaitGroup
+				mu  sync.Mutex
+			)
+
+			for i := range 60 {
+				time.Sleep(50 * time.Millisecond)
+
+				all.Go(func() {
+					if data, ok := w.download(http.Header{}); !ok || len(data) != fileBytes {
+						mu.Lock()
+						defer mu.Unlock()
+						lost[resume]++
+					}
+				})
+
+				switch i {
+				case 30:
+					w.vms[0].backend.crash()
+				case 40:
+					w.boot(w.vms[0], 0)
+				}
+			}
+
+			all.Wait()
+
+			resumed := slices.ContainsFunc(w.ring.Events(), func(e spar.Event) bool { return e.Kind == spar.EventResumed })
+			qt.Assert(t, resumed, qt.Equals, resume)
+		})
+	}
+
+	t.Logf("lost of 60 downloads: %d without resuming, %d with", lost[false], lost[true])
+	qt.Assert(t, lost[false] > 0, qt.IsTrue)
+	qt.Assert(t, lost[true], qt.Equals, 0)
 }
--- a/route/state_test.go
+++ b/route/state_test.go
@@ -48,7 +48,7 @@
 		via:   rapid.IntRange(0, 5).Draw(t, "via"),
 		other: rapid.IntRange(0, 20).Draw(t, "other"),
 		fault: rapid.SampledFrom([]string{
-			"", "", "", "lose", "cut", "cross", "late", "large", "large cut", "shed",
+			"", "", "", "lose", "lose, shed", "cut", "cross", "cross hop", "late", "large", "large cut", "shed",
 		}).Draw(t, "fault"),
 		wait: time.Duration(rapid.SampledFrom([]int{1, 50, 110, 1000, 2500}).Draw(t, "wait")) * time.Millisecond,
 	}
@@ -126,6 +126,12 @@
 		}
 	case string(spar.OutcomeNotRun):
 		o.notRun[resp.Header.Get(spar.HeaderRequest)] = string(body)
+
+		// A token that its owner issued for this key is never taken for a wrong one: its caller would
+		// believe that the request did not run before.
+		if r.token != "" && resp.StatusCode >= 400 && resp.StatusCode < 429 {
+			o.fail("%v was refused with status %d: %s", r, resp.StatusCode, body)
+		}
 	default:
 		o.dead[r.token] = o.dead[r.token] || resp.StatusCode == http.StatusConflict
 	}
--- a/route/world_test.go
+++ b/route/world_test.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	spar "sardinespar.example/spar"
@@ -120,6 +121,23 @@
 	}
 }
 
+// crossing gives nodes the answer to another request where a request asks for it.
+type crossing struct {
+	http.RoundTripper
+}
+
+func (c crossing) RoundTrip(r *http.Request) (*http.Response, error) {
+	resp, err := c.RoundTripper.RoundTrip(r)
+	if err == nil && r.Header.Get("X-Fault") == "cross hop" {
+		_ = resp.Body.Close()
+		resp.Header.Set(spar.HeaderRequest, "another")
+		resp.Body = io.NopCloser(strings.NewReader("another"))
+		resp.Header.Del("Content-Length")
+	}
+
+	return resp, err
+}
+
 // held is a lease that its test ends.
 type held struct {
 	mu    sync.Mutex
@@ -157,6 +175,20 @@
 
 const leaseTime spar.Millis = 900
 
+// store is a table that can be out.
+type store struct {
+	spar.Table
+	out atomic.Bool
+}
+
+func (s *store) Get(ctx context.Context, key string) (spar.Row, bool, error) {
+	if s.out.Load() {
+		return spar.Row{}, false, errRefused
+	}
+
+	return s.Table.Get(ctx, key)
+}
+
 // vm is a node and its backend server.
 type vm struct {
 	id      spar.NodeID
@@ -170,6 +202,7 @@
 	back    *listener
 	backend *backend
 	client  *http.Transport
+	limiter *admit.Fixed
 }
 
 // world is a few nodes over a network of pipes, and the table.
@@ -177,7 +210,7 @@
 	net    *network
 	clock  spar.Clock
 	ring   *event.Ring
-	table  *table.Memory
+	table  *store
 	vms    []*vm
 	caller *http.Transport
 	pool   *peers.Pool
@@ -194,7 +227,7 @@
 func newWorld(count int, resume bool) *world {
 	ctx, stop := context.WithCancel(context.Background())
 	w := &world{
-		net: &network{listeners: map[string]*listener{}}, clock: spar.RuntimeClock(), table: table.NewMemory(),
+		net: &network{listeners: map[string]*listener{}}, clock: spar.RuntimeClock(), table: &store{Table: table.NewMemory()},
 		segment: spar.NewSegment(keyed, 0), stop: stop, revision: 100,
 		ring: event.NewRing(64, func() int64 { return time.Now().UnixMilli() }),
 	}
@@ -246,14 +279,14 @@
 		http: w.net.listen(fmt.Sprintf("10.0.0.%d:80", i)), peer: w.net.listen(string(id)),
 		backend: &backend{runs: &w.runs, node: i},
 	}
-	limiter := admit.NewFixed(w.clock, 100)
-	limiter.Reset(spar.Capacity{Slots: 4, Conns: 4})
+	v.limiter = admit.NewFixed(w.clock, 100)
+	v.limiter.Reset(spar.Capacity{Slots: 8, Conns: 8})
 
 	wall := func() int64 { return time.Now().UnixMilli() }
 	v.crashes = crash.New(self, v.replica, w.table, w.pool, w.clock, wall, w.ring)
-	v.guard = guard.New(self, v.replica, v.lease, limiter, v.client, w.clock).WithQuarantine(v.crashes)
+	v.guard = guard.New(self, v.replica, v.lease, v.limiter, v.client, w.clock).WithQuarantine(v.crashes)
 	v.gate = &gate{guard: v.guard, busy: map[spar.Slot]int{}, shut: map[spar.Slot]chan struct{}{}}
-	h := route.New(self, v.replica, v.gate, v.client, pick.NewRobin(), w.clock)
+	h := route.New(self, v.replica, v.gate, crossing{v.client}, pick.NewRobin(), w.clock)
 
 	if resume {
 		h.WithResume(w.ring)
@@ -291,6 +324,8 @@
 	w.pool.Close()
 	w.caller.CloseIdleConnections()
 	w.wg.Wait()
+	// Handlers of broken connections end after their work.
+	time.Sleep(time.Minute)
 }
 
 // assign commits a change of the slot map; the nodes in late don't learn it yet.
@@ -452,6 +487,17 @@
 	mu       sync.Mutex
 	requests map[string]int
 	tokens   map[string]int
+	// last is the node that ran the latest request, crashes and canceled count runs that ended so.
+	last     int
+	crashes  int
+	canceled int
+}
+
+func (r *runs) latest() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	return r.last
 }
 
 // backend is a backend server that answers with content which belongs to the request. The header
@@ -462,6 +508,17 @@
 	crash func()
 }
 
+// sleep takes time unless the run is canceled.
+func (r *runs) sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.canceled++
+	}
+}
+
 const workTime = 100 * time.Millisecond
 
 func content(method, uri string, body []byte, size int) []byte {
@@ -480,7 +537,7 @@
 
 	w.Header().Set(spar.HeaderRequest, r.Header.Get(spar.HeaderRequest))
 
-	if fault == "shed" {
+	if fault == "shed" || fault == "lose, shed" && !strings.HasSuffix(r.Header.Get(spar.HeaderRequest), ".1") {
 		w.Header().Set(spar.HeaderOutcome, string(spar.OutcomeNotRun))
 		w.WriteHeader(http.StatusServiceUnavailable)
 
@@ -492,6 +549,11 @@
 	b.runs.mu.Lock()
 	b.runs.requests[id]++
 	b.runs.tokens[r.Header.Get(spar.HeaderToken)]++
+	b.runs.last = b.node
+
+	if fault == "crash" {
+		b.runs.crashes++
+	}
 	b.runs.mu.Unlock()
 
 	if fault == "crash" {
@@ -506,22 +568,26 @@
 	switch fault {
 	case "cross":
 		w.Header().Set(spar.HeaderRequest, "another")
-	case "lose":
+
+		body = []byte("another")
+	case "lose", "lose, shed":
 		panic(http.ErrAbortHandler)
 	case "late":
-		time.Sleep(5 * time.Second)
+		b.runs.sleep(r.Context(), 5*time.Second)
 	case "large", "large cut":
 		size = 100 << 10
 	}
 
-	if after, ok := strings.CutPrefix(r.URL.Path, "/f/file/"); ok {
-		serveFile(w, r, after)
+	if strings.HasPrefix(r.URL.Path, "/f/file/") {
+		b.serveFile(w, r, fault)
 
 		return
 	}
 
 	data := content(r.Method, r.URL.RequestURI(), body, size)
-	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
+	if fault != "large cut" {
+		w.Header().Set("Content-Length", strconv.Itoa(len(data)))
+	}
 
 	cut := strings.HasSuffix(fault, "cut")
 	if cut {
