Keep a delayed call from replacing the records of a later assignment

Cause: a call that read the slot's assignment, was delayed, and reached the ledger after the slot had gone away and come back opened an empty book over the present one. No token ran twice, since the new book has another secret, but a token that had run could be refused as a wrong one, as if it had not run.

Change: the ledger refuses an earlier assignment as stale, and the guard answers that it is not the owner.

--- a/guard/once.go
+++ b/guard/once.go
@@ -43,6 +43,8 @@
 			return spar.Uncertain(http.StatusConflict, spar.ReasonTokenExpired, "%s", e.Detail)
 		case ledger.Foreign:
 			return spar.NotRun(http.StatusBadRequest, spar.ReasonBadRequest, "%s", e.Detail)
+		case ledger.Stale:
+			return notOwner(c)
 		case ledger.Wait:
 			if !g.await(ctx, c, e.Done) {
 				return spar.Uncertain(http.StatusGatewayTimeout, spar.ReasonDeadline, "the run is still in progress")
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -41,6 +41,8 @@
 	Unknown
 	// Foreign says that the token was not issued for this slot, key or request; nothing ran.
 	Foreign
+	// Stale says that the slot was used under a later assignment already; nothing ran.
+	Stale
 )
 
 // Entry is the verdict on a token with what it needs.
@@ -112,13 +114,16 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
-	if t.Base != a.Base {
-		return Entry{Verdict: Unknown, Detail: "token is of another base epoch"}
-	}
-
 	l.expire()
 
 	b := l.open(place{service, slot}, a)
+	if b.epoch > a.Epoch {
+		return Entry{Verdict: Stale}
+	}
+
+	if t.Base != a.Base {
+		return Entry{Verdict: Unknown, Detail: "token is of another base epoch"}
+	}
 
 	if t.Tag != b.tag(t.Number, key) {
 		if b.gap {
@@ -165,10 +170,11 @@
 }
 
 // open returns the slot's book under an assignment: the present one, the one staged for it, or a
-// new one. A new one in the middle of a base lacks the records since that base.
+// new one. A new one in the middle of a base lacks the records since that base. A call that was
+// delayed and comes with an earlier assignment must not replace the present book.
 func (l *Ledger) open(p place, a spar.Assignment) *book {
 	b, staged := l.books[p], l.staged[p]
-	if b != nil && b.epoch == a.Epoch && b.base == a.Base {
+	if b != nil && (b.epoch > a.Epoch || b.epoch == a.Epoch && b.base == a.Base) {
 		return b
 	}
 
