--- a/agent/agent.go
+++ b/agent/agent.go
@@ -16,6 +16,7 @@
 	spar "sardinespar.example/spar"
 	"sardinespar.example/spar/admit"
 	"sardinespar.example/spar/config"
+	"sardinespar.example/spar/crash"
 	"sardinespar.example/spar/event"
 	"sardinespar.example/spar/fleet"
 	"sardinespar.example/spar/guard"
@@ -45,8 +46,11 @@
 
 const (
 	// drainTimeout is the longest deadline of a request, so that a shutdown cuts none.
-	drainTimeout   = route.DeadlineMost
-	headerTimeout  = 10 * time.Second
+	drainTimeout  = route.DeadlineMost
+	headerTimeout = 10 * time.Second
+	// idleTimeout is longer than other nodes keep idle connections, so that they never send a request
+	// on one that is being closed.
+	idleTimeout    = 3 * time.Minute
 	maxHeaderBytes = 64 << 10
 )
 
@@ -65,6 +69,7 @@
 	handler *route.Handler
 	joined  *Registrar
 	ops     operators
+	crashes *crash.Quarantine
 
 	closing atomic.Bool
 
@@ -85,7 +90,9 @@
 		Incarnation: deps.Incarnation, Lease: cfg.Lease, Registered: a.registering, Holder: deps.Lease,
 	})
 	a.limiter = newLimiter(cfg, deps.Clock, a.ring)
-	a.guard = guard.New(a.joined.ID, a.replica, a.joined, a.limiter, deps.HTTP, deps.Clock)
+	a.crashes = crash.New(a.joined.ID, a.replica, deps.Table, a.pool, deps.Clock, deps.Wall, a.ring)
+	a.guard = guard.New(a.joined.ID, a.replica, a.joined, a.limiter, deps.HTTP, deps.Clock).WithQuarantine(a.crashes)
+	a.guard.Gate().Use(a.guard.Ledger())
 	a.guard.ShareReads(cfg.ShareBytes)
 	picker := newPicker(cfg, deps.Clock, a.ring)
 	a.handler = route.New(a.joined.ID, a.replica, a.guard, a.ops.sender(deps.HTTP), picker, deps.Clock)
@@ -93,6 +100,10 @@
 	a.handler.Use(newPolicy(cfg, deps.Clock))
 	a.ops.serve(a)
 
+	if cfg.Resume {
+		a.handler.WithResume(a.ring)
+	}
+
 	return a
 }
 
@@ -103,6 +114,7 @@
 	a.joined.Register(mux)
 	a.register(mux)
 	a.ops.service.Register(mux)
+	a.crashes.Register(mux)
 
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
@@ -114,6 +126,7 @@
 	a.wg.Go(func() { a.spread.Run(background) })
 	a.wg.Go(func() { a.ops.follower.Run(background) })
 	a.wg.Go(func() { a.ops.service.Run(background) })
+	a.wg.Go(func() { a.crashes.Run(background) })
 	a.wg.Go(func() {
 		if err := server.Serve(background, ln.Peer); err != nil {
 			a.deps.Log.Error("peer listener stopped", "err", err)
@@ -134,7 +147,9 @@
 }
 
 func (a *Agent) serveHTTP(ln net.Listener, h http.Handler) *http.Server {
-	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
+	s := &http.Server{
+		Handler: h, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: idleTimeout,
+	}
 	a.wg.Go(func() { _ = s.Serve(ln) })
 
 	return s
--- a/answer.go
+++ b/answer.go
@@ -15,6 +15,8 @@
 	Owner    NodeID
 	// Load is the load at the node that answered, if it told one.
 	Load Load
+	// Token is the token that the caller may use for its next non-idempotent call.
+	Token string
 }
 
 // Completed returns the answer that carries a backend server's response. The receiver of the
@@ -51,6 +53,13 @@
 	return a
 }
 
+// WithToken returns a with the token for the caller's next call.
+func (a Answer) WithToken(token string) Answer {
+	a.Token = token
+
+	return a
+}
+
 // Close releases the response, if there is one.
 func (a Answer) Close() {
 	if a.Response != nil {
--- a/cmd/spard/main.go
+++ b/cmd/spard/main.go
@@ -46,7 +46,10 @@
   1  failed: a listener can't be opened, or requests in flight did not end in time
   2  wrong arguments or settings; every fault is named on standard error`
 
-const dialTimeout = 500 * time.Millisecond
+const (
+	dialTimeout     = 500 * time.Millisecond
+	idleConnTimeout = time.Minute
+)
 
 func main() {
 	app := kingpin.New("spard", about)
@@ -130,7 +133,7 @@
 			return d.DialContext(ctx, "tcp", addr)
 		},
 		HTTP: &http.Transport{
-			MaxIdleConnsPerHost: 256, DisableCompression: true,
+			MaxIdleConnsPerHost: 256, DisableCompression: true, IdleConnTimeout: idleConnTimeout,
 			DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		},
 		Log:         logger(cfg),
--- a/route/handler.go
+++ b/route/handler.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"slices"
 	"strconv"
+	"time"
 
 	spar "sardinespar.example/spar"
 	"sardinespar.example/spar/fleet"
@@ -17,6 +17,8 @@
 	ownerWait spar.Millis = 3000
 	// retryPause is the wait before a call is sent again when nothing changed in between.
 	retryPause spar.Millis = 20
+	// readTimeout bounds the reading of a caller's body.
+	readTimeout = 10 * time.Second
 	// retryMargin is left before the deadline: an attempt that can't be answered in time would turn a
 	// call that was not run into one whose outcome is unknown.
 	retryMargin spar.Millis = 50
@@ -36,6 +38,8 @@
 	picker  pick.Picker
 	clock   spar.Clock
 	policy  *Policy
+	// resumes takes the events of resumed downloads; nil turns resuming off.
+	resumes spar.Recorder
 	pull    func(ctx context.Context, addr string)
 }
 
@@ -53,61 +57,94 @@
 	h.pull = f
 }
 
+// WithResume turns the resuming of cut downloads on, before the handler is used.
+func (h *Handler) WithResume(r spar.Recorder) *Handler {
+	h.resumes = r
+
+	return h
+}
+
 // ServeHTTP answers a caller, or another node if the request has the hop header.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	c, refusal, ok := Parse(h.replica.View(), r, h.clock.Now())
+	arrived := h.clock.Now()
+	conn := http.NewResponseController(w)
+
+	_ = conn.SetReadDeadline(time.Now().Add(readTimeout))
+
+	c, refusal, ok := Parse(h.replica.View(), r, arrived)
 	if !ok {
-		h.write(w, refusal, 0)
+		// The deadline stays: the server reads on for the rest of a body before it answers.
+		h.write(w, refusal, "", 0)
 
 		return
 	}
 
+	// The deadline's end would look like a caller that left.
+	_ = conn.SetReadDeadline(time.Time{})
+
 	if r.Header.Get(spar.HeaderHop) != "" {
-		h.write(w, h.local.Serve(r.Context(), c), 1)
+		h.write(w, h.local.Serve(r.Context(), c), c.ID, 1)
 
 		return
 	}
 
-	a, attempts := h.send(r.Context(), c)
-	h.write(w, a, attempts)
+	a, attempts := h.send(r.Context(), c, nil)
+	h.write(w, h.resumable(r.Context(), c, a), c.ID, attempts)
 }
 
-// send sends the call until it was run, was refused for good, or its time is over.
-func (h *Handler) send(ctx context.Context, c spar.Call) (spar.Answer, int) {
+// send sends the call until it was run, was refused for good, or its time is over. Nodes in tried
+// are left out where the choice is free.
+func (h *Handler) send(ctx context.Context, c spar.Call, tried []spar.NodeID) (spar.Answer, int) {
 	patience := min(c.Deadline-retryMargin, h.clock.Now()+ownerWait)
+	attempts := 0
 
-	var (
-		tried  []spar.NodeID
-		a      spar.Answer
-		broken int
-	)
+	// unsure is the first attempt whose outcome is unknown: it decides the call's outcome unless a
+	// later attempt completes.
+	var unsure *spar.Answer
 
 	if h.policy != nil {
 		h.policy.Retries.Earn()
 	}
 
-	for attempts := 1; ; attempts++ {
+	for {
 		changed := h.replica.Changed()
+		known := len(tried)
 
-		a, tried = h.dispatch(ctx, c, tried)
-		if a.Outcome == spar.OutcomeUnknown {
-			broken++
+		var a spar.Answer
+
+		a, tried = h.dispatch(ctx, c.WithID(c.ID+"."+strconv.Itoa(attempts+1)), tried)
+		if len(tried) > known {
+			attempts++
 		}
 
-		if h.clock.Now() >= patience || !h.resend(ctx, c, a, tried, broken) {
-			return doubted(a, broken), attempts
+		if h.clock.Now() >= patience || !h.resend(ctx, c, a, tried, unsure != nil) {
+			return final(a, unsure), attempts
 		}
 
 		a.Close()
 
-		if !h.atOnce(c, tried) && !h.pause(ctx, changed) {
-			a = spar.NotRun(http.StatusServiceUnavailable, spar.ReasonDeadline, "caller has gone")
+		if a.Outcome == spar.OutcomeUnknown {
+			unsure = &a
+			c.Trial = a.Reason == spar.ReasonCrashed
+		}
+
+		if !h.pause(ctx, changed) {
+			gone := spar.NotRun(http.StatusServiceUnavailable, spar.ReasonDeadline, "caller has gone")
 
-			return doubted(a, broken), attempts
+			return final(gone, unsure), attempts
 		}
 	}
 }
 
+// final returns the outcome of a whole call: not run only if no attempt is in doubt.
+func final(a spar.Answer, unsure *spar.Answer) spar.Answer {
+	if a.Outcome == spar.OutcomeNotRun && unsure != nil {
+		return *unsure
+	}
+
+	return a
+}
+
 // learn pulls from a node that has refused the call twice because it does not own the slot any more: a
 // node without a registration gets no pushes, and its own scans are too far apart to wait for.
 func (h *Handler) learn(ctx context.Context, n spar.Node, a spar.Answer, tried []spar.NodeID) {
@@ -180,60 +217,3 @@
 
 	return a
 }
-
-// write gives the caller an answer. A body that ends early aborts the caller's connection, so that
-// a cut answer never looks whole.
-func (h *Handler) write(w http.ResponseWriter, a spar.Answer, attempts int) {
-	defer a.Close()
-
-	out := w.Header()
-
-	if a.Response != nil {
-		for name, values := range a.Response.Header {
-			out[name] = values
-		}
-
-		for _, name := range hopHeaders {
-			out.Del(name)
-		}
-	}
-
-	out.Set(spar.HeaderOutcome, string(a.Outcome))
-	out.Set(spar.HeaderAttempts, strconv.Itoa(attempts))
-	out.Set(spar.HeaderOwner, string(a.Owner))
-
-	out.Del(spar.HeaderLoad)
-
-	if a.Load.Limit > 0 {
-		out.Set(spar.HeaderLoad, a.Load.String())
-	}
-
-	if n, ok := h.replica.View().Node(a.Owner); ok {
-		out.Set(spar.HeaderOwnerURL, "http://"+n.Value.HTTPAddr)
-	}
-
-	if a.Response == nil {
-		h.writeRefusal(w, a)
-
-		return
-	}
-
-	w.WriteHeader(a.Status)
-
-	if _, err := io.Copy(w, a.Response.Body); err != nil {
-		panic(http.ErrAbortHandler)
-	}
-}
-
-func (h *Handler) writeRefusal(w http.ResponseWriter, a spar.Answer) {
-	out := w.Header()
-	out.Set(spar.HeaderReason, string(a.Reason))
-	out.Set("Content-Type", "text/plain; charset=utf-8")
-
-	if a.Status == http.StatusServiceUnavailable || a.Status == http.StatusTooManyRequests {
-		out.Set("Retry-After", "1")
-	}
-
-	w.WriteHeader(a.Status)
-	_, _ = io.WriteString(w, string(a.Outcome)+": "+a.Detail+"\n")
-}
--- a/route/hedge.go
+++ b/route/hedge.go
@@ -105,10 +105,7 @@
 	}
 
 	r.tried = append(r.tried, n.ID)
-	c := r.call
-	c.ID = rand.Text()
-
-	return n, c, true
+	return n, r.call.WithID(rand.Text()), true
 }
 
 func (r *hedged) nodes() []spar.NodeID {
@@ -125,38 +122,36 @@
 	})
 }
 
-// resend reports whether the entry node may send the call again after answer a; broken counts the
-// attempts that may have run.
-func (h *Handler) resend(ctx context.Context, c spar.Call, a spar.Answer, tried []spar.NodeID, broken int) bool {
+// resend reports whether the entry node may send the call again after answer a; unsure tells that an
+// earlier attempt may have run.
+func (h *Handler) resend(ctx context.Context, c spar.Call, a spar.Answer, tried []spar.NodeID, unsure bool) bool {
 	switch {
 	case a.Outcome == spar.OutcomeCompleted || ctx.Err() != nil:
 		return false
 	case a.Outcome == spar.OutcomeUnknown:
 		// The call may have crashed its backend server: it gets at most one more.
-		return h.policy != nil && c.Idempotent && a.Reason == spar.ReasonBroken && broken <= 1 &&
-			h.policy.Retries.Spend()
+		return c.Idempotent && !unsure && interrupted(a.Reason) && h.spend()
 	case a.Reason == spar.ReasonNoOwner || c.Service.Mode == spar.ModeKeyed && again(a):
 		return true
-	case h.policy == nil:
-		return again(a)
-	case again(a) || a.Reason == spar.ReasonShed && h.atOnce(c, tried):
-		return h.policy.Retries.Spend()
+	case again(a) || h.policy != nil && a.Reason == spar.ReasonShed && h.atOnce(c, tried):
+		return h.spend()
 	default:
 		return false
 	}
 }
 
-// atOnce reports whether a resend has another upstream to go to, so that waiting gains nothing.
-func (h *Handler) atOnce(c spar.Call, tried []spar.NodeID) bool {
-	return c.Service.Mode == spar.ModeAny && h.untried(c, tried)
+// interrupted reports whether an attempt ended without the backend server's answer, before the
+// call's time was over.
+func interrupted(r spar.Reason) bool {
+	return r == spar.ReasonBroken || r == spar.ReasonCrashed || r == spar.ReasonNoLease
 }
 
-// doubted returns a refusal after an attempt that may have run: then it can't be said that no
-// backend server ran the call.
-func doubted(a spar.Answer, broken int) spar.Answer {
-	if a.Outcome == spar.OutcomeNotRun && broken > 0 {
-		a.Outcome = spar.OutcomeUnknown
-	}
+// spend takes a resend from the budget, if there is one.
+func (h *Handler) spend() bool {
+	return h.policy == nil || h.policy.Retries.Spend()
+}
 
-	return a
+// atOnce reports whether a resend has another upstream to go to, so that waiting gains nothing.
+func (h *Handler) atOnce(c spar.Call, tried []spar.NodeID) bool {
+	return c.Service.Mode == spar.ModeAny && h.untried(c, tried)
 }
