Abandon attempts to lost nodes, and let presets act

Cause: a frozen owner keeps its connections open, so a read in flight to it waited for the caller's limit (3.2 s measured after a freeze) although its slots had new owners after about 1 s. The entry node now cancels an attempt 100 ms after the node's row became lost; idempotent calls go on to the new owner, others end as unknown.

The guard reads its id again after the lease, so that an old id can't pass with the lease of a new registration.

Sparload uses sparctl for zones, ends its processes with itself, and finds taken ports.

--- a/admit/adaptive.go
+++ b/admit/adaptive.go
@@ -76,6 +76,16 @@
 	a.dispatch(now)
 }
 
+// Govern applies the preset in force: a fixed limit at the capacity, or the adaptive one, and the
+// bound on calls that wait. Latencies are measured in both cases.
+func (a *Adaptive) Govern(fixed bool, maxQueue int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+
+	a.growth.pinned, a.cfg.MaxQueue = fixed, maxQueue
+	a.dispatch(a.clock.Now())
+}
+
 // Load returns the current counts.
 func (a *Adaptive) Load() spar.Load {
 	a.mu.Lock()
--- a/admit/growth.go
+++ b/admit/growth.go
@@ -34,6 +34,7 @@
 
 	most      int
 	limit     float64
+	pinned    bool
 	paced     bool
 	announced bool
 	ended     int
@@ -60,6 +61,10 @@
 }
 
 func (g *growth) value() int {
+	if g.pinned {
+		return g.most
+	}
+
 	return int(g.limit)
 }
 
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -97,7 +97,9 @@
 	picker := newPicker(cfg, deps.Clock, a.ring)
 	a.handler = route.New(a.joined.ID, a.replica, a.guard, a.ops.sender(deps.HTTP), picker, deps.Clock)
 	a.handler.PullWith(func(ctx context.Context, addr string) { a.spread.Behind(ctx, addr, math.MaxInt64) })
-	a.handler.Use(newPolicy(cfg, deps.Clock))
+	policy := newPolicy(cfg, deps.Clock)
+	policy.Choices = a.choices
+	a.handler.Use(policy)
 	a.ops.serve(a)
 
 	if cfg.Resume {
--- a/agent/operators.go
+++ b/agent/operators.go
@@ -46,7 +46,7 @@
 
 // serve adds the parts that read the agent's others.
 func (o *operators) serve(a *Agent) {
-	o.follower = preset.NewFollower(a.replica, a.joined.ID, a.deps.Clock, a.ring, nil)
+	o.follower = preset.NewFollower(a.replica, a.joined.ID, a.deps.Clock, a.ring, a.apply)
 	o.service = admin.New(admin.Deps{
 		Self: a.joined.ID, Replica: a.replica, Spread: a.spread, Table: a.deps.Table, Calls: a.pool, Ring: a.ring,
 		Clock: a.deps.Clock, Wall: a.deps.Wall, Report: a.report,
--- a/agent/tenure.go
+++ b/agent/tenure.go
@@ -103,7 +103,7 @@
 
 	a.deps.Log.Info("registered", "node", t.member.ID(), "service", n.Service)
 
-	balancer := plan.NewBalancer(t.member.ID(), a.replica, a.pool, a.deps.Clock)
+	balancer := plan.NewBalancer(t.member.ID(), a.replica, a.pool, a.deps.Clock).MovesBy(a.moves)
 
 	for _, task := range append(own, balancer.Run, t.mover.Run) {
 		tasks.Go(func() { task(ctx) })
--- a/cmd/sparload/exper/scenario.go
+++ b/cmd/sparload/exper/scenario.go
@@ -39,6 +39,8 @@
 	Set []string
 	// Rate multiplies the deployment's traffic.
 	Rate float64
+	// After runs when the traffic has ended, while the fleet is still there.
+	After func(ctx context.Context, s *Scene) error
 }
 
 // WithSet returns s with additional settings and another name.
@@ -100,6 +102,12 @@
 
 	after, _ := f.View(ctx)
 
+	if sc.After != nil {
+		if err := sc.After(ctx, scene); err != nil {
+			return report.Summary{}, err
+		}
+	}
+
 	runs, err := scene.runs()
 	if err != nil {
 		return report.Summary{}, err
--- a/cmd/sparload/exper/steps.go
+++ b/cmd/sparload/exper/steps.go
@@ -6,12 +6,13 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"os/exec"
+	"path/filepath"
 	"time"
 
 	spar "sardinespar.example/spar"
 	"sardinespar.example/spar/cmd/sparload/judge"
 	"sardinespar.example/spar/cmd/sparload/launch"
-	"sardinespar.example/spar/fleet"
 )
 
 // ZoneOut takes an availability zone out.
@@ -38,24 +39,32 @@
 	}
 }
 
+// withdraw asks the fleet through sparctl, as an operator does.
 func (s *Scene) withdraw(ctx context.Context, zone spar.Zone, out bool) error {
-	key := fleet.ZoneKey(zone)
+	direction := "in"
+	if out {
+		direction = "out"
+	}
 
-	row, _, err := s.Fleet.Table().Get(ctx, key)
-	if err != nil {
-		return err
+	_, err := s.Sparctl(ctx, "zone", direction, string(zone))
+
+	return err
+}
+
+// Sparctl runs the operators' command on the fleet and returns what it prints.
+func (s *Scene) Sparctl(ctx context.Context, args ...string) (string, error) {
+	for _, v := range s.Fleet.VMs {
+		args = append(args, "--node", v.PeerAddr())
 	}
 
-	value := fleet.Encode(spar.Withdrawal{Name: string(zone), Out: out, By: "sparload"})
-	c := s.Fleet.Table().Commit(ctx, spar.Txn{
-		Conditions: []spar.Condition{{Key: key, Revision: row.Revision}},
-		Writes:     []spar.Write{{Key: key, Value: value}},
-	})
-	if c.Verdict != spar.Applied {
-		return fmt.Errorf("withdraw zone %s: %s", zone, c.Verdict)
+	cmd := exec.CommandContext(ctx, filepath.Join(s.Bin, "sparctl"), append(args, "--by", "sparload")...)
+
+	data, err := cmd.CombinedOutput()
+	if err != nil {
+		return "", fmt.Errorf("sparctl: %w: %s", err, data)
 	}
 
-	return nil
+	return string(data), nil
 }
 
 // Kill ends a VM.
--- a/cmd/sparload/launch/fleet.go
+++ b/cmd/sparload/launch/fleet.go
@@ -239,6 +239,10 @@
 	defer t.Stop()
 
 	for {
+		if name, ok := f.ended(); ok {
+			return fmt.Errorf("%s has ended; see its log in %s", name, f.opts.Dir)
+		}
+
 		if f.ready(ctx) {
 			return nil
 		}
@@ -251,6 +255,21 @@
 	}
 }
 
+// ended returns the name of a process that has ended, as when its port was taken.
+func (f *Fleet) ended() (string, bool) {
+	if f.platform.Ended() {
+		return "platform", true
+	}
+
+	for _, v := range f.VMs {
+		if v.Spard.Ended() || v.Backend.Ended() {
+			return v.Name, true
+		}
+	}
+
+	return "", false
+}
+
 func (f *Fleet) ready(ctx context.Context) bool {
 	v, ok := f.View(ctx)
 	if !ok || len(v.Nodes()) < len(f.VMs) {
@@ -330,6 +349,8 @@
 
 	cmd := exec.CommandContext(ctx, filepath.Join(f.opts.Bin, program), args...)
 	cmd.Stdout, cmd.Stderr = logFile, logFile
+	// Processes of a tool that was killed would hold their ports and answer the next experiment.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 
 	return newProcess(cmd)
 }
--- a/cmd/sparload/launch/process.go
+++ b/cmd/sparload/launch/process.go
@@ -48,6 +48,16 @@
 	}
 }
 
+// Ended reports whether the process has ended.
+func (p *Process) Ended() bool {
+	select {
+	case <-p.ended:
+		return true
+	default:
+		return false
+	}
+}
+
 // Wait waits until the process has ended and reports its exit status, -1 if a signal ended it or
 // it runs on after the timeout.
 func (p *Process) Wait(timeout time.Duration) int {
--- a/cmd/sparload/main.go
+++ b/cmd/sparload/main.go
@@ -8,6 +8,8 @@
 	"io"
 	"os"
 	"os/signal"
+	"path/filepath"
+	"strconv"
 	"syscall"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -102,11 +104,17 @@
 ) (report.Summary, error) {
 	fmt.Fprintf(out, "starting %s: %d services, zones %v\n", d.Name, len(d.Services), d.Zones)
 
-	s, err := exper.Run(ctx, d, dirs, exper.ZoneMove(d), seed, out)
+	page := filepath.Join(dirs.Dir, d.Name+"-timeline.html")
+	scenario := exper.ZoneMove(d)
+	scenario.After = func(ctx context.Context, s *exper.Scene) error { return printTimeline(ctx, s, page, out) }
+
+	s, err := exper.Run(ctx, d, dirs, scenario, seed, out)
 	if err != nil {
 		return s, err
 	}
 
+	fmt.Fprintf(out, "time line of all nodes: %s\n\n", page)
+
 	if err := report.Print(out, s); err != nil {
 		return s, err
 	}
@@ -117,3 +125,27 @@
 
 	return s, nil
 }
+
+// timelineLines bounds the events that the demo prints.
+const timelineLines = 40
+
+// printTimeline prints the newest events of the zone's move and writes the whole time line as a page.
+func printTimeline(ctx context.Context, s *exper.Scene, page string, out io.Writer) error {
+	if _, err := s.Sparctl(ctx, "timeline", "--html", page); err != nil {
+		return err
+	}
+
+	for _, kind := range []string{"zone", "moved"} {
+		text, err := s.Sparctl(ctx, "timeline", "--kind", kind, "--newest", strconv.Itoa(timelineLines))
+		if err != nil {
+			return err
+		}
+
+		fmt.Fprintln(out, text)
+	}
+
+	status, err := s.Sparctl(ctx, "status")
+	fmt.Fprintln(out, status)
+
+	return err
+}
--- a/cmd/sparload/reading.go
+++ b/cmd/sparload/reading.go
@@ -19,6 +19,13 @@
 	reads, writes, refused float64
 }
 
+// storeStats is what the platform's stand-in counts.
+type storeStats struct {
+	Reads   float64 `json:"reads"`
+	Writes  float64 `json:"writes"`
+	Refused float64 `json:"refused"`
+}
+
 func read(ctx context.Context, f *launch.Fleet) (reading, error) {
 	r := reading{at: time.Now()}
 
@@ -43,11 +50,7 @@
 		r.received += vars.Received
 	}
 
-	var stats struct {
-		Reads   float64 `json:"reads"`
-		Writes  float64 `json:"writes"`
-		Refused float64 `json:"refused"`
-	}
+	var stats storeStats
 	if err := getJSON(ctx, "http://"+f.PlatformAddr()+"/admin/stats", &stats); err != nil {
 		return r, err
 	}
--- a/cmd/sparload/slopes.go
+++ b/cmd/sparload/slopes.go
@@ -13,7 +13,9 @@
 )
 
 const (
-	settleTime  = 8 * time.Second
+	// quietTime without a write tells that no slot moves any more, quietMost bounds the wait for it.
+	quietTime   = 6 * time.Second
+	quietMost   = 2 * time.Minute
 	sampleTime  = 20 * time.Second
 	slopesReady = 90 * time.Second
 )
@@ -83,7 +85,9 @@
 
 	s := sample{Nodes: len(f.VMs), ReadySeconds: time.Since(began).Seconds()}
 
-	time.Sleep(settleTime)
+	if err := settle(ctx, f); err != nil {
+		return s, err
+	}
 
 	before, err := read(ctx, f)
 	if err != nil {
@@ -100,6 +104,28 @@
 	return s.between(before, after), nil
 }
 
+// settle waits until the slots have spread over the fleet.
+func settle(ctx context.Context, f *launch.Fleet) error {
+	began, quiet := time.Now(), time.Now()
+
+	for writes := -1.0; time.Since(quiet) < quietTime; time.Sleep(time.Second) {
+		var stats storeStats
+		if err := getJSON(ctx, "http://"+f.PlatformAddr()+"/admin/stats", &stats); err != nil {
+			return err
+		}
+
+		if stats.Writes != writes {
+			writes, quiet = stats.Writes, time.Now()
+		}
+
+		if time.Since(began) > quietMost {
+			return fmt.Errorf("slots still move after %s", quietMost)
+		}
+	}
+
+	return nil
+}
+
 func (s sample) between(a, b reading) sample {
 	seconds := b.at.Sub(a.at).Seconds()
 	perNode := func(x float64) float64 { return x / seconds / float64(s.Nodes) }
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -53,6 +53,7 @@
 	nodes    map[spar.NodeID]Versioned[spar.Node]
 	services map[string]spar.Service
 	segments map[string]Versioned[spar.Segment]
+	serving  *serving
 }
 
 func newView() *View {
@@ -61,6 +62,7 @@
 		nodes:    map[spar.NodeID]Versioned[spar.Node]{},
 		services: map[string]spar.Service{},
 		segments: map[string]Versioned[spar.Segment]{},
+		serving:  &serving{},
 	}
 }
 
@@ -197,6 +199,7 @@
 	next := &View{
 		complete: max(v.complete, complete),
 		rows:     v.rows, nodes: v.nodes, services: v.services, segments: v.segments,
+		serving: v.serving,
 	}
 	changed := false
 
@@ -210,6 +213,7 @@
 			next.nodes = maps.Clone(v.nodes)
 			next.services = maps.Clone(v.services)
 			next.segments = maps.Clone(v.segments)
+			next.serving = &serving{}
 			changed = true
 		}
 
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -192,12 +192,15 @@
 		return none, spar.Answer{}, true
 	}
 
+	self := g.self()
+
 	a := g.replica.View().Assignment(c.Service, c.Slot)
-	if a.Owner != g.self() {
+	if a.Owner != self {
 		return none, notOwner(c), false
 	}
 
-	if g.clock.Now() >= g.lease.Until() {
+	// A new registration between the two reads would let the old id pass with the new lease.
+	if g.clock.Now() >= g.lease.Until() || g.self() != self {
 		return none, spar.NotRun(http.StatusServiceUnavailable, spar.ReasonNoLease, "this node holds no lease"), false
 	}
 
--- a/plan/move.go
+++ b/plan/move.go
@@ -12,7 +12,8 @@
 )
 
 const (
-	// MovesPerReceiver bounds the slots that move to one node at a time.
+	// MovesPerReceiver bounds the slots that move to one node at a time, unless the preset says
+	// otherwise.
 	MovesPerReceiver = 2
 	// batchesPerSource bounds the requests to move slots under way to one owner.
 	batchesPerSource = 2
@@ -54,6 +55,7 @@
 	calls   peers.Caller
 	clock   spar.Clock
 	ramps   map[string]*Ramp
+	moves   func(service string) (int, bool)
 	wake    chan struct{}
 	wg      sync.WaitGroup
 
@@ -74,6 +76,24 @@
 	}
 }
 
+// MovesBy sets the source of the preset's moves at a time, before the balancer runs.
+func (b *Balancer) MovesBy(moves func(service string) (int, bool)) *Balancer {
+	b.moves = moves
+
+	return b
+}
+
+// most returns how many slots may move to one node at a time.
+func (b *Balancer) most(service string) int {
+	if b.moves != nil {
+		if n, ok := b.moves(service); ok {
+			return n
+		}
+	}
+
+	return MovesPerReceiver
+}
+
 // Run balances until ctx ends.
 func (b *Balancer) Run(ctx context.Context) {
 	defer b.wg.Wait()
@@ -170,7 +190,7 @@
 
 	for _, m := range moves {
 		id := slotID{service, m.Slot}
-		if b.moving[id] || b.resting[id] > b.clock.Now() || b.receiving[m.To] >= MovesPerReceiver {
+		if b.moving[id] || b.resting[id] > b.clock.Now() || b.receiving[m.To] >= b.most(service) {
 			continue
 		}
 
--- a/route/forward.go
+++ b/route/forward.go
@@ -27,7 +27,9 @@
 		return spar.NotRun(http.StatusGatewayTimeout, spar.ReasonDeadline, "deadline passed before the run")
 	}
 
-	ctx, cancel := context.WithTimeout(ctx, (c.Deadline + answerGrace - now).Duration())
+	ctx, cancelTime := context.WithTimeout(ctx, (c.Deadline + answerGrace - now).Duration())
+	ctx, abandon := context.WithCancelCause(ctx)
+	cancel := func() { abandon(nil); cancelTime() }
 
 	var sent atomic.Bool
 
@@ -58,7 +60,16 @@
 		req.Header.Set(spar.HeaderTrial, "1")
 	}
 
+	w := &lossWatch{handler: h, node: n.ID, abandon: abandon}
+	go w.loop(ctx)
+
 	resp, err := h.client.RoundTrip(req)
+	if err != nil && errors.Is(context.Cause(ctx), errNodeLost) && sent.Load() {
+		cancel()
+
+		return spar.Uncertain(http.StatusBadGateway, spar.ReasonBroken, "node %s was lost before it answered", n.ID)
+	}
+
 	if err != nil {
 		late := errors.Is(ctx.Err(), context.DeadlineExceeded)
 
--- a/route/handler.go
+++ b/route/handler.go
@@ -36,6 +36,7 @@
 	local   Server
 	client  http.RoundTripper
 	picker  pick.Picker
+	robin   pick.Picker
 	clock   spar.Clock
 	policy  *Policy
 	// resumes takes the events of resumed downloads; nil turns resuming off.
@@ -48,7 +49,10 @@
 	self func() spar.NodeID, r *fleet.Replica, local Server, client http.RoundTripper, picker pick.Picker,
 	clock spar.Clock,
 ) *Handler {
-	return &Handler{self: self, replica: r, local: local, client: client, picker: picker, clock: clock}
+	return &Handler{
+		self: self, replica: r, local: local, client: client, picker: picker, clock: clock,
+		robin: pick.NewRobin(),
+	}
 }
 
 // PullWith sets the function that brings the replica up to date from the node at a peer address. It
@@ -183,19 +187,12 @@
 		return n.Value, none, ok && n.Value.State != spar.NodeLost
 	}
 
-	var nodes []spar.Node
-
-	for _, n := range v.NodesOf(c.Service.Name) {
-		if n.State == spar.NodeLive && !v.Withdrawn(n) {
-			nodes = append(nodes, n)
-		}
-	}
-
+	nodes := v.Serving(c.Service.Name)
 	if len(nodes) == 0 {
 		return spar.Node{}, none, false
 	}
 
-	return h.picker.Pick(nodes, tried), none, true
+	return h.pickerOf(c.Service.Name).Pick(nodes, tried), none, true
 }
 
 func (h *Handler) attempt(ctx context.Context, n spar.Node, c spar.Call) spar.Answer {
--- a/route/hedge.go
+++ b/route/hedge.go
@@ -19,11 +19,50 @@
 	Retries *pick.Budget
 	// NewHedger makes the hedger of one service; nil means no hedging.
 	NewHedger func() *pick.Hedger
+	// Choices returns what the preset in force says of a service; nil, or false, leaves the settings
+	// in force.
+	Choices func(service string) (Choices, bool)
 
 	mu      sync.Mutex
 	hedgers map[string]*pick.Hedger
 }
 
+// Choices is the part of a preset's policy that the entry node follows.
+type Choices struct {
+	RoundRobin bool
+	Hedging    bool
+	Resume     bool
+}
+
+// choices returns the preset's choices for a service, and whether a preset is in force.
+func (h *Handler) choices(service string) (Choices, bool) {
+	if h.policy == nil || h.policy.Choices == nil {
+		return Choices{}, false
+	}
+
+	return h.policy.Choices(service)
+}
+
+// pickerOf returns the picker that the preset in force names, or that of the settings.
+func (h *Handler) pickerOf(service string) pick.Picker {
+	if c, ok := h.choices(service); ok && c.RoundRobin {
+		return h.robin
+	}
+
+	return h.picker
+}
+
+// hedges reports whether the call may go to a second upstream while the first is slow.
+func (h *Handler) hedges(c spar.Call) bool {
+	if h.policy == nil || h.policy.NewHedger == nil || !c.Idempotent || c.Service.Mode != spar.ModeAny {
+		return false
+	}
+
+	choices, ok := h.choices(c.Service.Name)
+
+	return !ok || choices.Hedging
+}
+
 // Use sets the policy. It is called before the first call is served; without it calls are neither
 // hedged nor sent again after a shed or broken attempt.
 func (h *Handler) Use(p *Policy) {
@@ -55,7 +94,7 @@
 	before := tried
 	tried = append(tried, n.ID)
 
-	if h.policy == nil || h.policy.NewHedger == nil || !c.Idempotent || c.Service.Mode != spar.ModeAny {
+	if !h.hedges(c) {
 		a := h.attempt(ctx, n, c)
 		h.learn(ctx, n, a, before)
 
@@ -117,8 +156,8 @@
 
 // untried reports whether a live upstream of the service is not among tried.
 func (h *Handler) untried(c spar.Call, tried []spar.NodeID) bool {
-	return slices.ContainsFunc(h.replica.View().NodesOf(c.Service.Name), func(n spar.Node) bool {
-		return n.State == spar.NodeLive && !slices.Contains(tried, n.ID)
+	return slices.ContainsFunc(h.replica.View().Serving(c.Service.Name), func(n spar.Node) bool {
+		return !slices.Contains(tried, n.ID)
 	})
 }
 
--- a/route/resume.go
+++ b/route/resume.go
@@ -68,6 +68,10 @@
 		return a
 	}
 
+	if choices, ok := h.choices(c.Service.Name); ok && !choices.Resume {
+		return a
+	}
+
 	s, ok := spanOf(a.Response)
 	etag := a.Response.Header.Get("ETag")
 
--- a/route/run_test.go
+++ b/route/run_test.go
@@ -128,7 +128,12 @@
 		time.AfterFunc(workTime, owner.lease.stop)
 
 		_, outcome, _, _ := w.ask(fileNodes, http.MethodPost, "/s/k/x", token, "")
+
+		w.runs.mu.Lock()
+		runs := w.runs.tokens[token]
+		w.runs.mu.Unlock()
+
 		qt.Assert(t, outcome, qt.Equals, "not_run")
-		qt.Assert(t, w.runs.tokens[token], qt.Equals, 0)
+		qt.Assert(t, runs, qt.Equals, 0)
 	})
 }
