--- a/agent/announce.go
+++ b/agent/announce.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/pprof"
 	"net/netip"
 	"regexp"
 
@@ -94,6 +95,8 @@
 func (a *Agent) localMux(ctx context.Context) http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET /debug/vars", a.ops.metrics)
+	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
+	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
 	mux.HandleFunc("PUT /announce", func(w http.ResponseWriter, r *http.Request) { a.announce(ctx, w, r) })
 
 	return mux
