Close control connections that are idle

Cause: a push goes to all peers and leaves a connection to each open. Resident memory grew from 20.6 MB at 14 nodes to 26.8 MB at 112, 63 KB a peer, which would be 47 MB at 440 nodes against 32 MB allowed. Change: a connection without a call for 10 to 20 s is closed. The test fails without it.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -126,6 +126,7 @@
 	local := a.serveHTTP(ln.Local, a.localMux(background))
 
 	a.wg.Go(func() { a.spread.Run(background) })
+	a.wg.Go(func() { a.pool.Run(background, a.deps.Clock) })
 	a.wg.Go(func() { a.ops.follower.Run(background) })
 	a.wg.Go(func() { a.ops.service.Run(background) })
 	a.wg.Go(func() { a.crashes.Run(background) })
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"net"
 	"sync"
@@ -97,107 +96,6 @@
 	_ = rpc.Close()
 }
 
-// Pool keeps one connection for each peer address and calls methods over it.
-type Pool struct {
-	dial  Dialer
-	count *Traffic
-	stamp Stamper
-
-	mu    sync.Mutex
-	conns map[string]*jsonrpc2.Conn
-}
-
-// NewPool returns a pool that opens connections with dial.
-func NewPool(dial Dialer, count *Traffic) *Pool {
-	return &Pool{dial: dial, count: count, conns: map[string]*jsonrpc2.Conn{}}
-}
-
-// Call calls a method of the peer at addr and decodes the result.
-func (p *Pool) Call(ctx context.Context, addr, method string, params, result any) error {
-	err := p.call(ctx, addr, method, params, result)
-	p.count.called(method, err)
-
-	return err
-}
-
-func (p *Pool) call(ctx context.Context, addr, method string, params, result any) error {
-	conn, err := p.conn(ctx, addr)
-	if err != nil {
-		return err
-	}
-
-	err = conn.Call(ctx, method, params, result)
-
-	var remote *jsonrpc2.Error
-	if err != nil && !errors.As(err, &remote) {
-		p.drop(addr, conn)
-	}
-
-	if err != nil {
-		return fmt.Errorf("call %s of %s: %w", method, addr, err)
-	}
-
-	return nil
-}
-
-// Close closes all connections.
-func (p *Pool) Close() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-
-	for addr, conn := range p.conns {
-		_ = conn.Close()
-		delete(p.conns, addr)
-	}
-}
-
-func (p *Pool) conn(ctx context.Context, addr string) (*jsonrpc2.Conn, error) {
-	p.mu.Lock()
-	conn, ok := p.conns[addr]
-	p.mu.Unlock()
-
-	if ok {
-		return conn, nil
-	}
-
-	raw, err := p.dial(ctx, addr)
-	if err != nil {
-		return nil, fmt.Errorf("dial %s: %w", addr, err)
-	}
-
-	stream := jsonrpc2.NewPlainObjectStream(p.count.Conn(raw))
-	fresh := jsonrpc2.NewConn(context.WithoutCancel(ctx), stream, noCalls{}, stamped(p.stamp)...)
-
-	p.mu.Lock()
-	defer p.mu.Unlock()
-
-	if conn, ok := p.conns[addr]; ok {
-		_ = fresh.Close()
-
-		return conn, nil
-	}
-
-	p.conns[addr] = fresh
-
-	return fresh, nil
-}
-
-// drop forgets a connection. A call that timed out drops it too: after a cut that loses packets
-// without closing, a new connection finds the peer sooner than the old one does.
-func (p *Pool) drop(addr string, conn *jsonrpc2.Conn) {
-	p.mu.Lock()
-	if p.conns[addr] == conn {
-		delete(p.conns, addr)
-	}
-	p.mu.Unlock()
-
-	_ = conn.Close()
-}
-
-type noCalls struct{}
-
-func (noCalls) Handle(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) {}
-
 // Caller calls a method of a peer.
 type Caller interface {
 	Call(ctx context.Context, addr, method string, params, result any) error
