--- a/fleet/view.go
+++ b/fleet/view.go
@@ -80,6 +80,10 @@
 
 // Nodes returns all nodes that are not lost, in the order of their ids.
 func (v *View) Nodes() []spar.Node {
+	return slices.Clone(v.index().all)
+}
+
+func (v *View) sorted() []spar.Node {
 	nodes := make([]spar.Node, 0, len(v.nodes))
 
 	for _, n := range v.nodes {
