--- a/plan/bench_test.go
+++ b/plan/bench_test.go
@@ -16,7 +16,8 @@
 
 	s := spar.Service{Name: "s", Mode: spar.ModeKeyed, Slots: slotCount}
 	r := fleet.NewReplica()
-	rows := []spar.Row{{Key: fleet.ServiceKey("s"), Revision: 1, Value: fleet.Encode(s)}}
+	rows := make([]spar.Row, 0, 1+nodes+slotCount/spar.SegmentSize)
+	rows = append(rows, spar.Row{Key: fleet.ServiceKey("s"), Revision: 1, Value: fleet.Encode(s)})
 
 	for i := range nodes {
 		n := spar.Node{
