--- a/agent/agent.go
+++ b/agent/agent.go
@@ -73,9 +73,9 @@
 
 	closing atomic.Bool
 
-	mu     sync.Mutex
-	tenure *tenure
-	wg     sync.WaitGroup
+	mu           sync.Mutex
+	registration *registration
+	wg           sync.WaitGroup
 }
 
 // New returns an agent that is not running.
--- a/agent/announce.go
+++ b/agent/announce.go
@@ -120,7 +120,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 
-	t, leaving := a.tenure, n.State == StateLeaving
+	t, leaving := a.registration, n.State == StateLeaving
 	if t != nil {
 		t.announced()
 	}
--- a/agent/depart.go
+++ b/agent/depart.go
@@ -13,8 +13,8 @@
 // all peers.
 const publishedRest spar.Millis = 200
 
-// depart makes the node leave: its slots are moved away, then the tenure ends.
-func (t *tenure) depart(reason string) {
+// depart makes the node leave: its slots are moved away, then the registration ends.
+func (t *registration) depart(reason string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
@@ -28,7 +28,7 @@
 }
 
 // reason returns why the node leaves, empty if it does not.
-func (t *tenure) reason() string {
+func (t *registration) reason() string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
@@ -36,7 +36,7 @@
 }
 
 // announced notes the time of an announcement.
-func (t *tenure) announced() {
+func (t *registration) announced() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
@@ -44,7 +44,7 @@
 }
 
 // vacated reports whether the backend server gets no more work.
-func (t *tenure) vacated() bool {
+func (t *registration) vacated() bool {
 	select {
 	case <-t.gone:
 		return true
@@ -54,7 +54,7 @@
 }
 
 // count returns the number of slots that the node owns in its replica.
-func (t *tenure) count() int {
+func (t *registration) count() int {
 	v, owned := t.agent.replica.View(), 0
 	self, _ := t.member.Self()
 
@@ -75,7 +75,7 @@
 }
 
 // loop watches the backend server and operators' withdrawals until ctx ends.
-func (t *tenure) loop(ctx context.Context) {
+func (t *registration) loop(ctx context.Context) {
 	defer t.stop()
 
 	a := t.agent
@@ -105,7 +105,7 @@
 
 // down tells why the backend server counts as gone, from connections and announcements: what it
 // reports about itself may be late or wrong.
-func (t *tenure) down() string {
+func (t *registration) down() string {
 	t.mu.Lock()
 	heard := t.heard
 	t.mu.Unlock()
@@ -122,7 +122,7 @@
 
 // refuses reports whether the node, if it is to own nothing, has come to take no more work: all its
 // slots are gone, none has moved for too long, or the whole takes too long.
-func (t *tenure) refuses(withdrawn bool) bool {
+func (t *registration) refuses(withdrawn bool) bool {
 	if t.reason() == "" && !withdrawn {
 		t.idleSince = 0
 
@@ -145,7 +145,7 @@
 	return now-t.stillFrom >= stillMost || now-t.idleSince >= leaveMost
 }
 
-// register adds the methods of planned moves, served by the current tenure.
+// register adds the methods of planned moves, served by the current registration.
 func (a *Agent) register(m *peers.Mux) {
 	peers.Handle(m, plan.MethodMove, func(ctx context.Context, p plan.MoveParams) (plan.MoveResult, error) {
 		if t := a.current(); t != nil {
@@ -163,9 +163,9 @@
 	})
 }
 
-func (a *Agent) current() *tenure {
+func (a *Agent) current() *registration {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 
-	return a.tenure
+	return a.registration
 }
--- a/agent/policy.go
+++ b/agent/policy.go
@@ -31,7 +31,7 @@
 // apply puts a preset's policy for the local service in force on the limiter.
 func (a *Agent) apply(f preset.Force) {
 	a.mu.Lock()
-	t := a.tenure
+	t := a.registration
 	a.mu.Unlock()
 
 	l, ok := a.limiter.(governed)
--- a/agent/tenure.go
+++ b/agent/registration.go
@@ -25,14 +25,14 @@
 	lostTimeout spar.Millis = 2000
 )
 
-// tenure is one registration of the node, from its row's first commit to its state lost.
-type tenure struct {
+// registration is the time of the node under one id, from its row's first commit to its state lost.
+type registration struct {
 	agent  *Agent
 	member *fleet.Member
 	mover  *plan.Mover
 	stop   context.CancelFunc
 
-	// gone is closed when the backend server gets no more work, and ended when the tenure is over.
+	// gone is closed when the backend server gets no more work, and ended when the registration is over.
 	gone  chan struct{}
 	ended chan struct{}
 
@@ -62,7 +62,7 @@
 	}
 
 	ctx, stop := context.WithCancel(ctx)
-	t := &tenure{
+	t := &registration{
 		agent: a, member: a.joined.begin(node), stop: stop,
 		gone: make(chan struct{}), ended: make(chan struct{}), heard: a.deps.Clock.Now(),
 	}
@@ -71,7 +71,7 @@
 		Gate: a.guard.Gate(), Clock: a.deps.Clock, Record: a.ring,
 	})
 
-	a.tenure = t
+	a.registration = t
 	a.limiter.Reset(node.Capacity)
 	a.guard.Gate().Reset()
 	a.guard.Attach(&guard.Backend{Addr: n.Addr, ChecksGrants: n.ChecksGrants})
@@ -79,7 +79,7 @@
 }
 
 // run keeps the registration until it ends or ctx does.
-func (t *tenure) run(ctx context.Context, n Announcement) {
+func (t *registration) run(ctx context.Context, n Announcement) {
 	a := t.agent
 
 	defer a.forget(t)
@@ -113,8 +113,8 @@
 }
 
 // resign waits for the end of the backend server's work and then marks the node lost.
-func (t *tenure) resign(ctx context.Context) {
-	published := &publisher{tenure: t}
+func (t *registration) resign(ctx context.Context) {
+	published := &publisher{registration: t}
 	t.agent.wg.Go(func() { published.run(ctx) })
 
 	select {
@@ -136,9 +136,9 @@
 	t.member.Announce(ctx)
 }
 
-// publisher commits the state leaving once the tenure departs.
+// publisher commits the state leaving once the registration departs.
 type publisher struct {
-	*tenure
+	*registration
 }
 
 func (p *publisher) run(ctx context.Context) {
@@ -161,22 +161,22 @@
 	}
 }
 
-// forget ends the tenure, so that the next announcement begins a new one.
-func (a *Agent) forget(t *tenure) {
+// forget ends the registration, so that the next announcement begins a new one.
+func (a *Agent) forget(t *registration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 
 	a.guard.Attach(nil)
 	a.joined.end()
-	a.tenure = nil
+	a.registration = nil
 
 	close(t.ended)
 }
 
-// leave ends the current tenure, if there is one, by planned moves.
+// leave ends the current registration, if there is one, by planned moves.
 func (a *Agent) leave(ctx context.Context) {
 	a.mu.Lock()
-	t := a.tenure
+	t := a.registration
 	a.mu.Unlock()
 
 	if t == nil {
--- a/cmd/sparload/report/summary.go
+++ b/cmd/sparload/report/summary.go
@@ -3,6 +3,7 @@
 
 import (
 	"cmp"
+	"net/http"
 	"slices"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -122,7 +123,7 @@
 		served := -1.0
 
 		for _, r := range slices.Backward(rs) {
-			if r.Completed() && (served < 0 || r.FirstMs < served) {
+			if answered(r) && (served < 0 || r.FirstMs < served) {
 				served = r.FirstMs
 			}
 
@@ -135,6 +136,12 @@
 	return longest
 }
 
+// answered reports whether the key's owner gave a final answer. A token whose owner was lost is
+// answered by the new owner, truthfully with 409: the key is available.
+func answered(r load.Result) bool {
+	return r.Completed() || r.Status == http.StatusConflict
+}
+
 func imbalance(runs []judge.Run) map[string]float64 {
 	counts := map[string]map[string]int{}
 
