--- a/Makefile
+++ b/Makefile
@@ -26,11 +26,15 @@
 	@for m in $(MODULES); do (cd $$m && $(GOBIN)/golangci-lint fmt --config $(CURDIR)/.golangci.yml ./...) || exit 1; done
 
 clean:
-	rm -rf bin
+	rm -rf bin $(OUT)
+
+# Logs, run records, time lines, results and plots.
+OUT := out
 
 demo: build
-	bin/sparload --deployment deploy/quilt.ini demo
+	bin/sparload --deployment deploy/quilt.ini --dir $(OUT) demo
 
 measure: build
-	bin/sparload --deployment deploy/quilt.ini --json measure-quilt.json measure
-	bin/sparload --deployment deploy/teranga.ini --json measure-teranga.json measure
+	@mkdir -p $(OUT)
+	bin/sparload --deployment deploy/quilt.ini --dir $(OUT) --json $(OUT)/measure-quilt.json measure
+	bin/sparload --deployment deploy/teranga.ini --dir $(OUT) --json $(OUT)/measure-teranga.json measure
