Keep answers whole when the node that gave them leaves

Cause: found by reading: an attempt was abandoned 100 ms after its node's row became lost even when its answer had begun, so a slow caller of a node that left in order could get a cut answer. Change: the watch ends with the head of the answer, unless the download can go on at another upstream. The new test fails without it.

--- a/route/forward.go
+++ b/route/forward.go
@@ -29,7 +29,8 @@
 
 	ctx, cancelTime := context.WithTimeout(ctx, (c.Deadline + answerGrace - now).Duration())
 	ctx, abandon := context.WithCancelCause(ctx)
-	cancel := func() { abandon(nil); cancelTime() }
+	watched, stopWatch := context.WithCancel(ctx)
+	cancel := func() { stopWatch(); abandon(nil); cancelTime() }
 
 	var sent atomic.Bool
 
@@ -61,9 +62,16 @@
 	}
 
 	w := &lossWatch{handler: h, node: n.ID, abandon: abandon}
-	go w.loop(ctx)
+	go w.loop(watched)
 
 	resp, err := h.client.RoundTrip(req)
+
+	// A node that leaves in order becomes lost while a slow caller may still read its last answer.
+	// Only a download that can go on at another upstream is abandoned then.
+	if !h.resumes(c) {
+		stopWatch()
+	}
+
 	if err != nil && errors.Is(context.Cause(ctx), errNodeLost) && sent.Load() {
 		cancel()
 
--- a/route/handler.go
+++ b/route/handler.go
@@ -39,9 +39,9 @@
 	robin   pick.Picker
 	clock   spar.Clock
 	policy  *Policy
-	// resumes takes the events of resumed downloads; nil turns resuming off.
-	resumes spar.Recorder
-	pull    func(ctx context.Context, addr string)
+	// resumeEvents takes the events of resumed downloads; nil turns resuming off.
+	resumeEvents spar.Recorder
+	pull         func(ctx context.Context, addr string)
 }
 
 // New returns the handler of one node.
@@ -63,7 +63,7 @@
 
 // WithResume turns the resuming of cut downloads on, before the handler is used.
 func (h *Handler) WithResume(r spar.Recorder) *Handler {
-	h.resumes = r
+	h.resumeEvents = r
 
 	return h
 }
--- a/route/loss_test.go
+++ b/route/loss_test.go
@@ -1,6 +1,7 @@
 package route_test
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -97,3 +98,63 @@
 		t.GotConn(httptrace.GotConnInfo{})
 	}
 }
+
+// Guards against a slow caller's answer being cut because the node that gave it has left meanwhile.
+func TestAnswerOutlivesItsNode(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		service := spar.Service{Name: "s", Mode: spar.ModeKeyed, Slots: 1}
+		replica := fleet.NewReplica()
+		put := func(revision spar.Revision, key string, value any) {
+			replica.Merge([]spar.Row{{Key: key, Revision: revision, Value: fleet.Encode(value)}}, revision)
+		}
+		node := spar.Node{ID: "old.x", Service: "s", HTTPAddr: "old", State: spar.NodeLive}
+
+		put(1, fleet.ServiceKey("s"), service)
+		put(2, fleet.NodeKey(node.ID), node)
+		put(3, fleet.SegmentKey("s", 0), spar.NewSegment(service, 0).With(0, spar.Assignment{Owner: node.ID, Epoch: 1}))
+
+		net := &slowBody{}
+		h := route.New(func() spar.NodeID { return "entry.x" }, replica, net, net, pick.NewRobin(), spar.RuntimeClock())
+
+		time.AfterFunc(time.Second, func() { put(4, fleet.NodeKey(node.ID), node.WithState(spar.NodeLost)) })
+
+		w := httptest.NewRecorder()
+		h.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/s/k", http.NoBody))
+		qt.Check(t, w.Body.String(), qt.Equals, "whole")
+	})
+}
+
+// slowBody answers with a body whose end comes after 5 s, unless the request is canceled.
+type slowBody struct{ upstreams }
+
+func (s *slowBody) RoundTrip(r *http.Request) (*http.Response, error) {
+	trace(r)
+
+	return &http.Response{
+		StatusCode: http.StatusOK, ContentLength: 5, Body: &lateBody{ctx: r.Context(), text: "whole"},
+		Header: http.Header{
+			spar.HeaderOutcome: {string(spar.OutcomeCompleted)},
+			spar.HeaderRequest: {r.Header.Get(spar.HeaderRequest)},
+		},
+	}, nil
+}
+
+type lateBody struct {
+	ctx  context.Context //nolint:containedctx // a body's reads end with its request
+	text string
+}
+
+func (l *lateBody) Read(p []byte) (int, error) {
+	select {
+	case <-l.ctx.Done():
+		return 0, l.ctx.Err()
+	case <-time.After(5 * time.Second):
+	}
+
+	n := copy(p, l.text)
+	l.text = l.text[n:]
+
+	return n, io.EOF
+}
+
+func (l *lateBody) Close() error { return nil }
--- a/route/resume.go
+++ b/route/resume.go
@@ -62,13 +62,20 @@
 	return len(etag) > 1 && strings.HasPrefix(etag, `"`) && strings.HasSuffix(etag, `"`)
 }
 
-// resumable lets a download go on at another upstream after a cut.
-func (h *Handler) resumable(ctx context.Context, c spar.Call, a spar.Answer) spar.Answer {
-	if h.resumes == nil || a.Response == nil || c.Method != http.MethodGet || c.Service.Mode != spar.ModeAny {
-		return a
+// resumes reports whether a cut answer to the call may go on at another upstream.
+func (h *Handler) resumes(c spar.Call) bool {
+	if h.resumeEvents == nil || c.Method != http.MethodGet || c.Service.Mode != spar.ModeAny {
+		return false
 	}
 
-	if choices, ok := h.choices(c.Service.Name); ok && !choices.Resume {
+	choices, ok := h.choices(c.Service.Name)
+
+	return !ok || choices.Resume
+}
+
+// resumable lets a download go on at another upstream after a cut.
+func (h *Handler) resumable(ctx context.Context, c spar.Call, a spar.Answer) spar.Answer {
+	if a.Response == nil || !h.resumes(c) {
 		return a
 	}
 
@@ -158,7 +165,7 @@
 
 	d.body = a.Response.Body
 	d.tried = append(d.tried, a.Owner)
-	d.handler.resumes.Record(spar.Event{
+	d.handler.resumeEvents.Record(spar.Event{
 		Kind: spar.EventResumed, Service: c.Service.Name, Request: c.ID, Peer: a.Owner,
 		Detail: fmt.Sprintf("at byte %d of %d", s.first, s.total),
 	})
