Fix rapid's seed in one place, and start measured fleets in one

Table and fleet set them after the command line was parsed, so no other seed or count could be run by hand there. Change: package prop sets them, and what the command line names goes first. Seeds and counts of checks are as before. Sparload's cost and slopes start their fleets through one function.

--- a/agent/machine_test.go
+++ b/agent/machine_test.go
@@ -1,9 +1,7 @@
 package agent_test
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"slices"
 	"testing"
 	"time"
@@ -12,18 +10,12 @@
 
 	spar "sardinespar.example/spar"
 	"sardinespar.example/spar/fault"
+	"sardinespar.example/spar/internal/prop"
 )
 
 // TestMain fixes the seed and the number of rapid's checks unless the command line gives them.
 func TestMain(m *testing.M) {
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "3", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-
-	flag.Parse()
-	os.Exit(m.Run())
+	prop.Main(m, 1, 3, 0)
 }
 
 // faultKind is a fault of the design's list of what fails. The first two leave the bound on the
--- a/cmd/sparload/cost.go
+++ b/cmd/sparload/cost.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"os"
 	"text/tabwriter"
 	"time"
 
@@ -29,29 +28,13 @@
 ) ([]cost, error) {
 	d.LinkMs = 0
 
-	dir, err := os.MkdirTemp(dirs.Dir, "cost-")
-	if err != nil {
-		return nil, fmt.Errorf("make directory: %w", err)
-	}
-
-	f, err := launch.Start(ctx, d, launch.Options{Bin: dirs.Bin, Dir: dir, WriteRate: 300, ReadRate: 2000})
+	f, _, err := startSettled(ctx, d, dirs, "cost-")
 	defer f.Stop()
 
 	if err != nil {
 		return nil, err
 	}
 
-	ready, cancel := context.WithTimeout(ctx, slopesReady)
-	defer cancel()
-
-	if err := f.Ready(ready); err != nil {
-		return nil, err
-	}
-
-	if err := settle(ctx, f); err != nil {
-		return nil, err
-	}
-
 	idle, err := costAt(ctx, f, 0)
 	if err != nil {
 		return nil, err
--- a/cmd/sparload/launch/fleet.go
+++ b/cmd/sparload/launch/fleet.go
@@ -320,6 +320,10 @@
 
 // Stop ends all processes, in order if they end in time.
 func (f *Fleet) Stop() {
+	if f == nil {
+		return
+	}
+
 	for _, v := range f.VMs {
 		v.Thaw()
 		v.Backend.Signal(syscall.SIGKILL)
--- a/cmd/sparload/slopes.go
+++ b/cmd/sparload/slopes.go
@@ -61,34 +61,45 @@
 	return samples, w.Flush()
 }
 
-func measureIdle(ctx context.Context, d launch.Deployment, dirs exper.Dirs) (sample, error) {
-	dir, err := os.MkdirTemp(dirs.Dir, "idle-")
+// startSettled starts a deployment and waits until its slots have spread over the fleet. It returns
+// the fleet, which the caller stops also after an error, and the time until every slot had an owner.
+func startSettled(
+	ctx context.Context, d launch.Deployment, dirs exper.Dirs, prefix string,
+) (*launch.Fleet, time.Duration, error) {
+	dir, err := os.MkdirTemp(dirs.Dir, prefix)
 	if err != nil {
-		return sample{}, fmt.Errorf("make directory: %w", err)
+		return nil, 0, fmt.Errorf("make directory: %w", err)
 	}
 
 	began := time.Now()
 
 	f, err := launch.Start(ctx, d, launch.Options{Bin: dirs.Bin, Dir: dir, WriteRate: 300, ReadRate: 2000})
-	defer f.Stop()
-
 	if err != nil {
-		return sample{}, err
+		return f, 0, err
 	}
 
 	ready, cancel := context.WithTimeout(ctx, slopesReady)
 	defer cancel()
 
 	if err := f.Ready(ready); err != nil {
-		return sample{}, err
+		return f, 0, err
 	}
 
-	s := sample{Nodes: len(f.VMs), ReadySeconds: time.Since(began).Seconds()}
+	took := time.Since(began)
 
-	if err := settle(ctx, f); err != nil {
-		return s, err
+	return f, took, settle(ctx, f)
+}
+
+func measureIdle(ctx context.Context, d launch.Deployment, dirs exper.Dirs) (sample, error) {
+	f, took, err := startSettled(ctx, d, dirs, "idle-")
+	defer f.Stop()
+
+	if err != nil {
+		return sample{}, err
 	}
 
+	s := sample{Nodes: len(f.VMs), ReadySeconds: took.Seconds()}
+
 	before, err := read(ctx, f)
 	if err != nil {
 		return s, err
--- a/fleet/replica_test.go
+++ b/fleet/replica_test.go
@@ -1,9 +1,7 @@
 package fleet_test
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"slices"
 	"testing"
 
@@ -12,18 +10,11 @@
 
 	spar "sardinespar.example/spar"
 	"sardinespar.example/spar/fleet"
+	"sardinespar.example/spar/internal/prop"
 )
 
 func TestMain(m *testing.M) {
-	flag.Parse()
-
-	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.checks": "200"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-
-	os.Exit(m.Run())
+	prop.Main(m, 20261204, 200, 0)
 }
 
 // Guards against a row that goes back when messages arrive late, twice or out of order, and against
--- a/lease/choose_test.go
+++ b/lease/choose_test.go
@@ -1,9 +1,7 @@
 package lease_test
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"slices"
 	"testing"
 
@@ -11,19 +9,13 @@
 	"pgregory.net/rapid"
 
 	spar "sardinespar.example/spar"
+	"sardinespar.example/spar/internal/prop"
 	"sardinespar.example/spar/lease"
 )
 
 // TestMain fixes the seed and the number of rapid's checks unless the command line gives them.
 func TestMain(m *testing.M) {
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "200", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-
-	flag.Parse()
-	os.Exit(m.Run())
+	prop.Main(m, 1, 200, 0)
 }
 
 func answers(spar.NodeID) bool { return false }
--- a/route/state_test.go
+++ b/route/state_test.go
@@ -2,11 +2,9 @@
 
 import (
 	"bytes"
-	"flag"
 	"fmt"
 	"io"
 	"net/http"
-	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -17,16 +15,11 @@
 	"pgregory.net/rapid"
 
 	spar "sardinespar.example/spar"
+	"sardinespar.example/spar/internal/prop"
 )
 
 func TestMain(m *testing.M) {
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "150", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-
-	os.Exit(m.Run())
+	prop.Main(m, 1, 150, 0)
 }
 
 // step is one action of a script.
--- a/slots/balance_test.go
+++ b/slots/balance_test.go
@@ -1,29 +1,20 @@
 package slots_test
 
 import (
-	"flag"
 	"fmt"
 	"math"
-	"os"
 	"testing"
 
 	"github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
 	spar "sardinespar.example/spar"
+	"sardinespar.example/spar/internal/prop"
 	"sardinespar.example/spar/slots"
 )
 
 func TestMain(m *testing.M) {
-	flag.Parse()
-
-	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.checks": "500"} {
-		if f := flag.Lookup(name); f.Value.String() == f.DefValue {
-			_ = flag.Set(name, value)
-		}
-	}
-
-	os.Exit(m.Run())
+	prop.Main(m, 20261204, 500, 0)
 }
 
 // drawn is a fleet with arbitrary weights, some of them 0, and an arbitrary map.
--- a/table/table_test.go
+++ b/table/table_test.go
@@ -4,11 +4,9 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"flag"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
-	"os"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -18,19 +16,12 @@
 	"pgregory.net/rapid"
 
 	spar "sardinespar.example/spar"
+	"sardinespar.example/spar/internal/prop"
 	"sardinespar.example/spar/table"
 )
 
 func TestMain(m *testing.M) {
-	flag.Parse()
-
-	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.checks": "200"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-
-	os.Exit(m.Run())
+	prop.Main(m, 20261204, 200, 0)
 }
 
 // flaky drops requests or replies as told, in turn.
