--- a/cmd/sparctl/shell/settings.go
+++ b/cmd/sparctl/shell/settings.go
@@ -29,5 +29,5 @@
 		list = append(list, setting{k.Section, k.Name, k.DefaultText(), k.Accepted, k.Help})
 	}
 
-	return a.print(list, func(w io.Writer) { printf(w, "%s", config.Reference()) })
+	return a.print(list, func(w io.Writer) { printf(w, "%s", config.Reference(config.Keys())) })
 }
--- a/cmd/spard/main.go
+++ b/cmd/spard/main.go
@@ -5,6 +5,7 @@
 	"context"
 	"crypto/rand"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -56,6 +57,9 @@
 	app.Version(version)
 	app.HelpFlag.Short('h')
 
+	serve := app.Command("serve", "Run beside a backend server that announces itself; the default.").Default()
+	relayed := app.Command("relay", "Run beside a backend server that takes its keys in the answers to its heartbeats, "+
+		"on the platform; see docs/platform.md.")
 	files := app.Flag("settings", "INI file with settings; given several times, a value in a later file "+
 		"replaces the one in an earlier file.").Short('s').Strings()
 	overrides := app.Flag("set", "Setting as section.key=value; replaces the one in the files.").Strings()
@@ -63,23 +67,42 @@
 	reference := app.Flag("print-settings", "Print the reference of all settings as Markdown, and exit.").Bool()
 	sample := app.Flag("print-sample", "Print an INI file with every setting, and exit.").Bool()
 
-	if _, err := app.Parse(os.Args[1:]); err != nil {
+	command, err := app.Parse(os.Args[1:])
+	if err != nil {
 		fmt.Fprintf(os.Stderr, "spard: %v; see spard --help\n", err)
 		os.Exit(exitSettings)
 	}
 
+	in := input{files: *files, overrides: *overrides, check: *check, reference: *reference, sample: *sample}
+
+	switch command {
+	case serve.FullCommand():
+		start(in, config.Keys(), run)
+	case relayed.FullCommand():
+		start(in, config.RelayKeys(), func(cfg config.Relay) error { return runRelay(*files, *overrides, cfg) })
+	}
+}
+
+// input is what the command line asks for.
+type input struct {
+	files, overrides         []string
+	check, reference, sample bool
+}
+
+// start prints what is asked for, or checks the settings and runs.
+func start[S any](in input, keys []config.Key[S], run func(S) error) {
 	switch {
-	case *reference:
-		fmt.Print(config.Reference())
+	case in.reference:
+		fmt.Print(config.Reference(keys))
 
 		return
-	case *sample:
-		fmt.Print(config.Sample())
+	case in.sample:
+		fmt.Print(config.Sample(keys))
 
 		return
 	}
 
-	cfg, faults := config.Load(*files, *overrides)
+	cfg, faults := config.LoadKeys(keys, in.files, in.overrides)
 	if len(faults) > 0 {
 		for _, f := range faults {
 			fmt.Fprintln(os.Stderr, f)
@@ -88,7 +111,7 @@
 		os.Exit(exitSettings)
 	}
 
-	if *check {
+	if in.check {
 		fmt.Println("settings are valid")
 
 		return
@@ -136,22 +159,22 @@
 			MaxIdleConnsPerHost: 256, DisableCompression: true, IdleConnTimeout: idleConnTimeout,
 			DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		},
-		Log:         logger(cfg),
+		Log:         newLogger(os.Stderr, cfg.LogLevel, cfg.LogFormat),
 		Incarnation: func() string { return strings.ToLower(rand.Text()[:10]) },
 	}).Run(ctx, ln)
 }
 
-func logger(cfg config.Settings) *log.Logger {
-	l := log.NewWithOptions(os.Stderr, log.Options{ReportTimestamp: true, TimeFormat: time.RFC3339Nano})
+func newLogger(w io.Writer, level, format string) *log.Logger {
+	l := log.NewWithOptions(w, log.Options{ReportTimestamp: true, TimeFormat: time.RFC3339Nano})
 
-	level, err := log.ParseLevel(cfg.LogLevel)
+	parsed, err := log.ParseLevel(level)
 	if err != nil {
 		panic("spard: checked log level can't be read: " + err.Error())
 	}
 
-	l.SetLevel(level)
+	l.SetLevel(parsed)
 
-	if cfg.LogFormat == "json" {
+	if format == "json" {
 		l.SetFormatter(log.JSONFormatter)
 	}
 
--- a/config/keys.go
+++ b/config/keys.go
@@ -13,22 +13,22 @@
 	spar "sardinespar.example/spar"
 )
 
-// Key describes one setting.
-type Key struct {
+// Key describes one setting of a program whose settings are S.
+type Key[S any] struct {
 	Section  string
 	Name     string
 	Default  string
 	Accepted string
 	Help     string
 
-	set func(*Settings, string) bool
+	set func(*S, string) bool
 }
 
 // required marks a key without a default.
 const required = "\x00"
 
 // Required reports whether the key has no default.
-func (k Key) Required() bool {
+func (k Key[S]) Required() bool {
 	return k.Default == required
 }
 
@@ -37,12 +37,12 @@
 const acceptedName = "1 to 64 letters, digits, - or _"
 
 // Keys returns all settings in the order of the reference.
-func Keys() []Key {
+func Keys() []Key[Settings] {
 	return slices.Concat(nodeKeys(), storeKeys(), policyKeys(), loadKeys(), logKeys())
 }
 
-func nodeKeys() []Key {
-	return []Key{
+func nodeKeys() []Key[Settings] {
+	return []Key[Settings]{
 		name("node", "vm", "name of the VM, part of the node id", func(s *Settings, v string) { s.VM = v }),
 		name("node", "zone", "availability zone", func(s *Settings, v string) { s.Zone = spar.Zone(v) }),
 		name("node", "region", "region of the zone", func(s *Settings, v string) { s.Region = spar.Region(v) }),
@@ -56,8 +56,8 @@
 	}
 }
 
-func storeKeys() []Key {
-	return []Key{
+func storeKeys() []Key[Settings] {
+	return []Key[Settings]{
 		{
 			Section: "store", Name: "url", Default: required, Accepted: "http://IP:PORT",
 			Help: "base URL of the platform's table service",
@@ -73,8 +73,8 @@
 	}
 }
 
-func policyKeys() []Key {
-	return []Key{
+func policyKeys() []Key[Settings] {
+	return []Key[Settings]{
 		choice("policy", "lease", []string{LeaseWitness, LeaseTable}, "how nodes hold their lease",
 			func(s *Settings, v string) { s.Lease = v }),
 		choice("policy", "admission", []string{AdmissionAdaptive, AdmissionFixed}, "how calls are admitted",
@@ -90,8 +90,8 @@
 	}
 }
 
-func logKeys() []Key {
-	return []Key{
+func logKeys() []Key[Settings] {
+	return []Key[Settings]{
 		integer("log", "events", 4096, 16, 1_000_000, "events kept for the time line",
 			func(s *Settings, v int) { s.EventCount = v }),
 		choice("log", "level", []string{"info", "debug", "warn", "error"}, "least level of log lines",
@@ -101,10 +101,10 @@
 	}
 }
 
-func name(section, key, help string, set func(*Settings, string)) Key {
-	return Key{
+func name[S any](section, key, help string, set func(*S, string)) Key[S] {
+	return Key[S]{
 		Section: section, Name: key, Default: required, Accepted: acceptedName, Help: help,
-		set: func(s *Settings, v string) bool {
+		set: func(s *S, v string) bool {
 			set(s, v)
 
 			return namePattern.MatchString(v)
@@ -112,10 +112,10 @@
 	}
 }
 
-func address(key, help string, set func(*Settings, string)) Key {
-	return Key{
+func address[S any](key, help string, set func(*S, string)) Key[S] {
+	return Key[S]{
 		Section: "listen", Name: key, Default: required, Accepted: "IP:PORT", Help: help,
-		set: func(s *Settings, v string) bool {
+		set: func(s *S, v string) bool {
 			set(s, v)
 
 			return validAddress(v)
@@ -131,10 +131,10 @@
 }
 
 // advertised returns an address setting that may be empty.
-func advertised(key, help string, set func(*Settings, string)) Key {
-	return Key{
+func advertised[S any](key, help string, set func(*S, string)) Key[S] {
+	return Key[S]{
 		Section: "listen", Name: key, Accepted: "IP:PORT or empty", Help: help,
-		set: func(s *Settings, v string) bool {
+		set: func(s *S, v string) bool {
 			set(s, v)
 
 			return v == "" || validAddress(v)
@@ -142,10 +142,10 @@
 	}
 }
 
-func choice(section, key string, values []string, help string, set func(*Settings, string)) Key {
-	return Key{
+func choice[S any](section, key string, values []string, help string, set func(*S, string)) Key[S] {
+	return Key[S]{
 		Section: section, Name: key, Default: values[0], Accepted: strings.Join(values, ", "), Help: help,
-		set: func(s *Settings, v string) bool {
+		set: func(s *S, v string) bool {
 			set(s, v)
 
 			return slices.Contains(values, v)
@@ -153,10 +153,10 @@
 	}
 }
 
-func flag(section, key string, def bool, help string, set func(*Settings, bool)) Key {
-	return Key{
+func flag[S any](section, key string, def bool, help string, set func(*S, bool)) Key[S] {
+	return Key[S]{
 		Section: section, Name: key, Default: strconv.FormatBool(def), Accepted: "true, false", Help: help,
-		set: func(s *Settings, v string) bool {
+		set: func(s *S, v string) bool {
 			b, err := strconv.ParseBool(v)
 			set(s, b)
 
@@ -165,11 +165,11 @@
 	}
 }
 
-func integer(section, key string, def, least, most int, help string, set func(*Settings, int)) Key {
-	return Key{
+func integer[S any](section, key string, def, least, most int, help string, set func(*S, int)) Key[S] {
+	return Key[S]{
 		Section: section, Name: key, Default: strconv.Itoa(def), Help: help,
 		Accepted: fmt.Sprintf("a whole number from %d to %d", least, most),
-		set: func(s *Settings, v string) bool {
+		set: func(s *S, v string) bool {
 			n, err := strconv.Atoi(v)
 			set(s, n)
 
@@ -179,10 +179,10 @@
 }
 
 // percent describes a setting given in whole percent and kept as a ratio.
-func percent(key string, def, least, most int, help string, set func(*Settings, float64)) Key {
-	return integer("policy", key+"_percent", def, least, most, help, func(s *Settings, n int) { set(s, float64(n)/100) })
+func percent[S any](key string, def, least, most int, help string, set func(*S, float64)) Key[S] {
+	return integer("policy", key+"_percent", def, least, most, help, func(s *S, n int) { set(s, float64(n)/100) })
 }
 
-func millis(section, key string, def, least, most int, help string, set func(*Settings, spar.Millis)) Key {
-	return integer(section, key, def, least, most, help, func(s *Settings, n int) { set(s, spar.Millis(n)) })
+func millis[S any](section, key string, def, least, most int, help string, set func(*S, spar.Millis)) Key[S] {
+	return integer(section, key, def, least, most, help, func(s *S, n int) { set(s, spar.Millis(n)) })
 }
--- a/config/load.go
+++ b/config/load.go
@@ -32,20 +32,25 @@
 	value string
 }
 
-// Load reads files in order, later ones going first, then the overrides "section.key=value", and
-// returns the settings and every fault.
+// Load reads the settings of spard's own mode; see LoadKeys.
 func Load(files, overrides []string) (Settings, []Fault) {
+	return LoadKeys(Keys(), files, overrides)
+}
+
+// LoadKeys reads files in order, later ones going first, then the overrides "section.key=value", and
+// returns the settings and every fault.
+func LoadKeys[S any](keys []Key[S], files, overrides []string) (S, []Fault) {
 	values := map[string]entry{}
 
 	var faults []Fault
 
 	for _, file := range files {
-		faults = append(faults, readFile(file, values)...)
+		faults = append(faults, readFile(file, keys, values)...)
 	}
 
 	for _, o := range overrides {
 		path, value, ok := strings.Cut(o, "=")
-		if !ok || !known(path) {
+		if !ok || !known(keys, path) {
 			faults = append(faults, Fault{File: "--set " + o, Accepted: "must be section.key=value of a known key"})
 
 			continue
@@ -54,9 +59,9 @@
 		values[path] = entry{file: "--set", value: value}
 	}
 
-	var s Settings
+	var s S
 
-	for _, k := range Keys() {
+	for _, k := range keys {
 		if f, ok := k.apply(&s, values); !ok {
 			faults = append(faults, f)
 		}
@@ -65,11 +70,11 @@
 	return s, faults
 }
 
-func (k Key) path() string {
+func (k Key[S]) path() string {
 	return k.Section + "." + k.Name
 }
 
-func (k Key) apply(s *Settings, values map[string]entry) (Fault, bool) {
+func (k Key[S]) apply(s *S, values map[string]entry) (Fault, bool) {
 	e, given := values[k.path()]
 	if !given {
 		e = entry{file: "settings", value: k.Default}
@@ -86,7 +91,7 @@
 	return fault, k.set(s, e.value)
 }
 
-func readFile(file string, values map[string]entry) []Fault {
+func readFile[S any](file string, keys []Key[S], values map[string]entry) []Fault {
 	data, err := ini.LoadSources(ini.LoadOptions{AllowShadows: true}, file)
 	if err != nil {
 		return []Fault{{File: file, Accepted: err.Error()}}
@@ -100,7 +105,7 @@
 			fault := Fault{File: file, Section: section.Name(), Key: key.Name(), Value: key.Value()}
 
 			switch {
-			case !known(path):
+			case !known(keys, path):
 				fault.Accepted = "unknown key"
 				faults = append(faults, fault)
 			case len(key.ValueWithShadows()) > 1:
@@ -116,6 +121,6 @@
 	return faults
 }
 
-func known(path string) bool {
-	return slices.ContainsFunc(Keys(), func(k Key) bool { return k.path() == path })
+func known[S any](keys []Key[S], path string) bool {
+	return slices.ContainsFunc(keys, func(k Key[S]) bool { return k.path() == path })
 }
--- a/config/load_keys.go
+++ b/config/load_keys.go
@@ -3,8 +3,8 @@
 import spar "sardinespar.example/spar"
 
 // loadKeys are the settings of admission, choice among upstreams, hedging and retries.
-func loadKeys() []Key {
-	return []Key{
+func loadKeys() []Key[Settings] {
+	return []Key[Settings]{
 		integer("policy", "admission_start", 2, 1, 1000, "calls admitted at once after a start and after a slow turn",
 			func(s *Settings, v int) { s.AdmissionStart = v }),
 		millis("policy", "admission_warmup_ms", 6000, 0, 600_000, "least time from there to the full capacity after a start",
--- a/config/reference.go
+++ b/config/reference.go
@@ -5,13 +5,13 @@
 	"strings"
 )
 
-// Reference returns the reference of all settings as Markdown, one table for each section.
-func Reference() string {
+// Reference returns the reference of settings as Markdown, one table for each section.
+func Reference[S any](keys []Key[S]) string {
 	var b strings.Builder
 
 	section := ""
 
-	for _, k := range Keys() {
+	for i, k := range keys {
 		if k.Section != section {
 			section = k.Section
 			fmt.Fprintf(&b, "## [%s]\n\n| key | default | accepted | meaning |\n|---|---|---|---|\n", section)
@@ -19,7 +19,7 @@
 
 		fmt.Fprintf(&b, "| `%s` | %s | %s | %s |\n", k.Name, k.DefaultText(), k.Accepted, k.Help)
 
-		if last(k) {
+		if i+1 == len(keys) || keys[i+1].Section != k.Section {
 			b.WriteByte('\n')
 		}
 	}
@@ -28,7 +28,7 @@
 }
 
 // DefaultText returns the default as the reference shows it.
-func (k Key) DefaultText() string {
+func (k Key[S]) DefaultText() string {
 	if k.Required() {
 		return "required"
 	}
@@ -36,25 +36,13 @@
 	return k.Default
 }
 
-// last reports whether k is the last key of its section.
-func last(k Key) bool {
-	keys := Keys()
-	for i := range keys {
-		if keys[i].path() == k.path() {
-			return i+1 == len(keys) || keys[i+1].Section != k.Section
-		}
-	}
-
-	return false
-}
-
 // Sample returns an INI file that names every setting; required keys are left to fill in.
-func Sample() string {
+func Sample[S any](keys []Key[S]) string {
 	var b strings.Builder
 
 	section := ""
 
-	for _, k := range Keys() {
+	for _, k := range keys {
 		if k.Section != section {
 			if section != "" {
 				b.WriteByte('\n')
--- a/config/reference_test.go
+++ b/config/reference_test.go
@@ -13,7 +13,7 @@
 // TestSampleLoads guards against a printed sample that spard refuses, or that changes a default.
 func TestSampleLoads(t *testing.T) {
 	name := filepath.Join(t.TempDir(), "spard.ini")
-	qt.Assert(t, os.WriteFile(name, []byte(config.Sample()), 0o600), qt.IsNil)
+	qt.Assert(t, os.WriteFile(name, []byte(config.Sample(config.Keys())), 0o600), qt.IsNil)
 
 	required := []string{
 		"node.vm=vm1", "node.zone=a", "node.region=r", "listen.http=127.0.0.1:1", "listen.peer=127.0.0.1:2",
--- /dev/null
+++ b/config/relay.go
@@ -0,0 +1,106 @@
+package config
+
+import (
+	"slices"
+
+	spar "sardinespar.example/spar"
+)
+
+// Relay are the settings of a node whose backend server takes its keys in the answers to its
+// heartbeats.
+type Relay struct {
+	Node    string
+	Zone    string
+	Service string
+	// App is the address of the backend server beside the node.
+	App string
+
+	// Outbound takes callers' requests, Inbound those of other nodes, Ready the question whether the node
+	// takes callers, Control the backend server's heartbeats, and Peer control messages.
+	Outbound string
+	Inbound  string
+	Ready    string
+	Control  string
+	Peer     string
+	Metrics  string
+
+	Store        string
+	StoreTimeout spar.Millis
+
+	Lease   spar.Millis
+	Renew   spar.Millis
+	Hold    spar.Millis
+	HoldMax spar.Millis
+
+	ColdShare  float64
+	WholeBytes int
+	BodyBytes  int
+	Grace      spar.Millis
+
+	GCPercent int
+	LogLevel  string
+	LogFormat string
+}
+
+// RelayKeys returns all settings of a relay in the order of the reference.
+func RelayKeys() []Key[Relay] {
+	return slices.Concat(relayNodeKeys(), relayKeepKeys(), relayLogKeys())
+}
+
+func relayNodeKeys() []Key[Relay] {
+	return []Key[Relay]{
+		name("node", "name", "name of the node, unique in the deployment", func(s *Relay, v string) { s.Node = v }),
+		name("node", "zone", "availability zone", func(s *Relay, v string) { s.Zone = v }),
+		name("node", "service", "service of the backend server beside the node", func(s *Relay, v string) { s.Service = v }),
+		located("node", "app", "address of the backend server", func(s *Relay, v string) { s.App = v }),
+		address("outbound", "address for callers on this VM", func(s *Relay, v string) { s.Outbound = v }),
+		address("inbound", "address for requests of other nodes", func(s *Relay, v string) { s.Inbound = v }),
+		address("ready", "address for the question whether the node takes callers", func(s *Relay, v string) { s.Ready = v }),
+		address("control", "address for the backend server's heartbeats", func(s *Relay, v string) { s.Control = v }),
+		address("peer", "address for control messages between nodes", func(s *Relay, v string) { s.Peer = v }),
+		advertised("metrics", "address for metrics", func(s *Relay, v string) { s.Metrics = v }),
+		located("store", "address", "address of the platform's store", func(s *Relay, v string) { s.Store = v }),
+		millis("store", "timeout_ms", 700, 10, 60_000, "time limit of one call of the store",
+			func(s *Relay, v spar.Millis) { s.StoreTimeout = v }),
+	}
+}
+
+func relayKeepKeys() []Key[Relay] {
+	return []Key[Relay]{
+		millis("keys", "lease_ms", 12_000, 1000, 600_000, "time that a lease lasts after its renewal was sent",
+			func(s *Relay, v spar.Millis) { s.Lease = v }),
+		millis("keys", "renew_ms", 2500, 100, 60_000, "pause between two renewals of the lease",
+			func(s *Relay, v spar.Millis) { s.Renew = v }),
+		millis("keys", "hold_ms", 6000, 500, 600_000, "longest grant of keys to the backend server",
+			func(s *Relay, v spar.Millis) { s.Hold = v }),
+		millis("keys", "hold_most_ms", 10_000, 500, 600_000, "longest grant that backend servers accept",
+			func(s *Relay, v spar.Millis) { s.HoldMax = v }),
+		integer("requests", "cold_percent", 100, 10, 100, "part of the rate that a cold backend server bears which is used",
+			func(s *Relay, n int) { s.ColdShare = float64(n) / 100 }),
+		integer("requests", "whole_bytes", 128<<10, 0, 8<<20, "size up to which an answer is read whole before it is passed on",
+			func(s *Relay, n int) { s.WholeBytes = n }),
+		integer("requests", "body_bytes", 8<<20, 1, 256<<20, "longest body of a request, if the rules allow no less",
+			func(s *Relay, n int) { s.BodyBytes = n }),
+		millis("requests", "grace_ms", 5500, 100, 600_000, "time after SIGTERM in which requests under way may end",
+			func(s *Relay, v spar.Millis) { s.Grace = v }),
+	}
+}
+
+func relayLogKeys() []Key[Relay] {
+	return []Key[Relay]{
+		integer("runtime", "gc_percent", 60, 10, 1000, "growth of the heap after which memory is collected, in percent",
+			func(s *Relay, n int) { s.GCPercent = n }),
+		choice("log", "level", []string{"info", "debug", "warn", "error"}, "least level of log lines",
+			func(s *Relay, v string) { s.LogLevel = v }),
+		choice("log", "format", []string{"text", "json"}, "form of log lines",
+			func(s *Relay, v string) { s.LogFormat = v }),
+	}
+}
+
+// located returns an address setting outside the section of listeners.
+func located[S any](section, key, help string, set func(*S, string)) Key[S] {
+	k := address(key, help, set)
+	k.Section = section
+
+	return k
+}
--- a/docs/pages_test.go
+++ b/docs/pages_test.go
@@ -26,7 +26,7 @@
 	for _, test := range []struct {
 		file, begin, part string
 	}{
-		{"operators/settings.md", "## [node]", config.Reference()},
+		{"operators/settings.md", "## [node]", config.Reference(config.Keys())},
 		{"operators/presets.md", "| key | default", preset.Reference()},
 		{"operators/metrics.md", "## Metrics", meter.Reference()},
 	} {
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,251 @@
+// Package entry takes callers' requests, chooses the backend server for each, and sends it there.
+package entry
+
+import (
+	"context"
+	"errors"
+	"hash/fnv"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+
+	"github.com/charmbracelet/log"
+
+	spar "sardinespar.example/spar"
+	"sardinespar.example/spar/conns"
+	"sardinespar.example/spar/gate"
+	"sardinespar.example/spar/keymap"
+	"sardinespar.example/spar/mesh"
+	"sardinespar.example/spar/owner"
+	"sardinespar.example/spar/rules"
+)
+
+// replyMargin is kept between the end of the work and the caller's deadline, for the way back.
+const replyMargin spar.Millis = 15
+
+// Settings are the settings of an entry.
+type Settings struct {
+	Node string
+	Zone string
+	// Service is the service of this VM, which callers here speak for.
+	Service string
+	Names   spar.HeaderNames
+	// BodyBytes bounds a request's body.
+	BodyBytes int64
+}
+
+// Deps are what an entry works with.
+type Deps struct {
+	Clock spar.Clock
+	Rules func() *rules.Set
+	Mesh  *mesh.Mesh
+	Maps  *owner.Maps
+	Gate  *gate.Gate
+	Pool  *conns.Pool
+	Log   *log.Logger
+	// Evacuated reports whether an availability zone is taken out.
+	Evacuated func(zone string) bool
+	// Closing reports whether callers should open new connections elsewhere.
+	Closing func() bool
+}
+
+// Entry serves callers.
+type Entry struct {
+	cfg     Settings
+	deps    Deps
+	budget  *Budget
+	tracker *Tracker
+	buffers *copyBuffers
+}
+
+// New returns an entry.
+func New(cfg Settings, deps Deps) *Entry {
+	return &Entry{cfg: cfg, deps: deps, budget: NewBudget(), tracker: NewTracker(), buffers: newCopyBuffers()}
+}
+
+// refusal is an answer of this node's own.
+type refusal struct {
+	status int
+	cause  string
+}
+
+// ServeHTTP routes a caller's request.
+func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	arrived := e.deps.Clock.Now()
+
+	set := e.deps.Rules()
+	if set == nil {
+		e.refuse(w, r, gate.Refused(spar.ReasonNoService, retryLeast))
+
+		return
+	}
+
+	req, rule, bad := e.parse(r, set, arrived)
+	if bad != nil {
+		e.reject(w, r, *bad)
+
+		return
+	}
+
+	if bad := e.readBody(r, &req, set); bad != nil {
+		e.reject(w, r, *bad)
+
+		return
+	}
+
+	e.budget.Earn(req.Service)
+
+	ctx, cancel := context.WithTimeout(r.Context(), (req.Deadline - arrived).Duration())
+	defer cancel()
+
+	result := e.route(ctx, req, rule)
+
+	if result.Outcome == spar.OutcomeCompleted {
+		e.deliver(w, result)
+
+		return
+	}
+
+	e.refuse(w, r, result)
+}
+
+// parse reads a request's header.
+func (e *Entry) parse(r *http.Request, set *rules.Set, now spar.Millis) (gate.Request, rules.Rule, *refusal) {
+	names := e.cfg.Names
+
+	id := r.Header.Get(names.RequestID)
+	if id == "" {
+		return gate.Request{}, rules.Rule{}, &refusal{http.StatusBadRequest, "no header " + names.RequestID}
+	}
+
+	rule, ok := set.Match(r.Host, r.URL.Path)
+	if !ok {
+		return gate.Request{}, rules.Rule{}, &refusal{http.StatusNotFound, "no rule for this host and path"}
+	}
+
+	left := rule.Timeout
+
+	if text := r.Header.Get(names.Deadline); text != "" {
+		ms, err := strconv.ParseFloat(text, 64)
+		if err != nil || ms < 0 {
+			return gate.Request{}, rules.Rule{}, &refusal{http.StatusBadRequest, "bad header " + names.Deadline}
+		}
+
+		left = min(left, spar.Millis(ms)-replyMargin)
+	}
+
+	service := rule.Part(hash(id))
+	key := gate.NoKey
+
+	if s, _ := set.Service(service); s.Keyed {
+		n, err := strconv.Atoi(r.Header.Get(names.Key))
+		if err != nil || n < 0 || n >= keymap.Keys {
+			return gate.Request{}, rules.Rule{}, &refusal{http.StatusBadRequest, "bad header " + names.Key}
+		}
+
+		key = n
+	}
+
+	gate.StripHop(r.Header)
+	stripOwn(r.Header)
+
+	return gate.Request{
+		ID: id, Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: r.Header, Service: service,
+		Caller: e.cfg.Service, Key: key, Kind: rule.Kind, Priority: rule.Priority,
+		Deadline: now + left, Objective: now + min(left, objective(rule)),
+	}, rule, nil
+}
+
+func objective(r rules.Rule) spar.Millis {
+	if r.Objective <= 0 {
+		return r.Timeout
+	}
+
+	return r.Objective
+}
+
+func hash(id string) uint64 {
+	h := fnv.New64a()
+	_, _ = io.WriteString(h, id)
+
+	return h.Sum64()
+}
+
+// readBody reads a request's body whole, so that the request can be sent again if it has not run.
+func (e *Entry) readBody(r *http.Request, req *gate.Request, set *rules.Set) *refusal {
+	if r.ContentLength == 0 {
+		return nil
+	}
+
+	most := e.cfg.BodyBytes
+	if n := int64(set.Limits.BodyBytes); n > 0 {
+		most = min(most, n)
+	}
+
+	body, err := io.ReadAll(io.LimitReader(r.Body, most+1))
+
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return &refusal{http.StatusRequestTimeout, "body not received in time"}
+	case err != nil:
+		return &refusal{http.StatusBadRequest, "body can't be read"}
+	case int64(len(body)) > most:
+		return &refusal{http.StatusRequestEntityTooLarge, "body is longer than " + strconv.FormatInt(most, 10) + " bytes"}
+	}
+
+	req.Body = body
+
+	return nil
+}
+
+func (e *Entry) deliver(w http.ResponseWriter, r gate.Result) {
+	h := w.Header()
+	for name, values := range r.Header {
+		h[name] = values
+	}
+
+	if e.deps.Closing() {
+		h["Connection"] = []string{"close"}
+	}
+
+	e.buffers.copyAnswer(w, r)
+}
+
+// reject answers a request that can't be routed.
+func (e *Entry) reject(w http.ResponseWriter, r *http.Request, bad refusal) {
+	e.deps.Log.Warn("request rejected", "id", r.Header.Get(e.cfg.Names.RequestID), "status", bad.status,
+		"cause", bad.cause, "host", r.Host, "path", r.URL.Path)
+	e.end(w, bad.status, bad.cause)
+}
+
+// refuse answers a request that no backend server answered. Only a request that has not run gets the
+// status that says so.
+func (e *Entry) refuse(w http.ResponseWriter, r *http.Request, result gate.Result) {
+	status := http.StatusBadGateway
+
+	switch {
+	case result.Outcome == spar.OutcomeNotRun:
+		status = http.StatusServiceUnavailable
+		after := min(retryAfterMost, max(retryLeast, result.RetryAfter))
+		w.Header().Set("Retry-After", strconv.FormatFloat(float64(after)/1000, 'f', 3, 64))
+	case result.Reason == spar.ReasonDeadline:
+		status = http.StatusGatewayTimeout
+	}
+
+	e.deps.Log.Warn("request failed", "id", r.Header.Get(e.cfg.Names.RequestID), "status", status,
+		"outcome", result.Outcome, "reason", result.Reason, "detail", result.Detail,
+		"retry_after_ms", int(result.RetryAfter))
+	e.end(w, status, string(result.Reason))
+}
+
+func (e *Entry) end(w http.ResponseWriter, status int, text string) {
+	if e.deps.Closing() {
+		w.Header().Set("Connection", "close")
+	}
+
+	w.Header().Set("Content-Type", "text/plain")
+	w.Header().Set("Content-Length", strconv.Itoa(len(text)+1))
+	w.WriteHeader(status)
+	_, _ = io.WriteString(w, text+"\n")
+}
--- /dev/null
+++ b/entry/hop.go
@@ -0,0 +1,177 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	spar "sardinespar.example/spar"
+	"sardinespar.example/spar/conns"
+	"sardinespar.example/spar/gate"
+	"sardinespar.example/spar/rules"
+)
+
+// The headers between nodes.
+const (
+	hopService    = "Spar-Service"
+	hopLife       = "Spar-Life"
+	hopLeft       = "Spar-Left-Ms"
+	hopObjective  = "Spar-Objective-Ms"
+	hopKind       = "Spar-Kind"
+	hopPriority   = "Spar-Priority"
+	hopCaller     = "Spar-Caller"
+	hopKey        = "Spar-Key"
+	hopID         = "Spar-Request"
+	hopArrived    = "Spar-Arrived"
+	hopRetryAfter = "Spar-Retry-After-Ms"
+	hopDetail     = "Spar-Detail"
+	hopPrefix     = "Spar-"
+)
+
+// stripOwn removes the headers between nodes from what a caller or a backend server sent.
+func stripOwn(h http.Header) {
+	for name := range h {
+		if strings.HasPrefix(name, hopPrefix) {
+			delete(h, name)
+		}
+	}
+}
+
+// encodeHop returns the header of a request to another node.
+func encodeHop(req gate.Request, now spar.Millis) http.Header {
+	h := req.Header.Clone()
+	h[hopService] = []string{req.Service}
+	h[hopLife] = []string{req.Life}
+	h[hopLeft] = []string{strconv.Itoa(int(req.Deadline - now))}
+	h[hopObjective] = []string{strconv.Itoa(int(req.Objective - now))}
+	h[hopKind] = []string{string(req.Kind)}
+	h[hopPriority] = []string{strconv.Itoa(req.Priority)}
+	h[hopCaller] = []string{req.Caller}
+	h[hopKey] = []string{strconv.Itoa(req.Key)}
+	h[hopID] = []string{req.ID}
+
+	return h
+}
+
+// decodeHop reads a request of another node.
+func decodeHop(r *http.Request, body []byte, now spar.Millis) (gate.Request, error) {
+	var numbers [4]int
+
+	for i, name := range [...]string{hopLeft, hopObjective, hopPriority, hopKey} {
+		n, err := strconv.Atoi(r.Header.Get(name))
+		if err != nil {
+			return gate.Request{}, err
+		}
+
+		numbers[i] = n
+	}
+
+	req := gate.Request{
+		ID: r.Header.Get(hopID), Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: r.Header, Body: body,
+		Service: r.Header.Get(hopService), Caller: r.Header.Get(hopCaller), Life: r.Header.Get(hopLife),
+		Kind: rules.Kind(r.Header.Get(hopKind)), Priority: numbers[2], Key: numbers[3],
+		Deadline: now + spar.Millis(numbers[0]), Objective: now + spar.Millis(numbers[1]),
+	}
+	stripOwn(req.Header)
+
+	return req, nil
+}
+
+// encodeLoad and decodeLoad carry a backend server's load on each answer, so that the sender's view is
+// as new as its last request.
+func encodeLoad(l gate.Load) string {
+	return strconv.Itoa(l.Running) + " " + strconv.Itoa(l.Waiting) + " " + strconv.Itoa(l.Slots) + " " +
+		strconv.Itoa(int(l.Service))
+}
+
+func decodeLoad(s string) (gate.Load, bool) {
+	fields := strings.Fields(s)
+	if len(fields) != 4 {
+		return gate.Load{}, false
+	}
+
+	var n [4]int
+
+	for i, f := range fields {
+		v, err := strconv.Atoi(f)
+		if err != nil {
+			return gate.Load{}, false
+		}
+
+		n[i] = v
+	}
+
+	return gate.Load{Running: n[0], Waiting: n[1], Slots: n[2], Service: spar.Millis(n[3])}, true
+}
+
+// send sends a request to the node of a candidate.
+func (e *Entry) send(ctx context.Context, c Candidate, req gate.Request) gate.Result {
+	req.Life = c.Life
+
+	if c.Local {
+		return e.deps.Gate.Serve(ctx, req)
+	}
+
+	resp, failure := e.deps.Pool.Send(ctx, c.Addr, conns.Request{
+		Method: req.Method, URI: req.URI, Host: req.Host, Body: req.Body,
+		Header: encodeHop(req, e.deps.Clock.Now()),
+		Mine:   func(h http.Header) bool { return h.Get(hopID) == req.ID },
+	})
+	if failure != nil {
+		return hopFailed(ctx, failure)
+	}
+
+	if l, ok := decodeLoad(resp.Header.Get(spar.HeaderLoad)); ok {
+		e.deps.Mesh.Loaded(c.Node, l)
+	}
+
+	return decodeResult(resp)
+}
+
+func hopFailed(ctx context.Context, f *conns.Failure) gate.Result {
+	switch {
+	case !f.Sent:
+		r := gate.Refused(spar.ReasonUnreachable, 0)
+		r.Detail = f.Error()
+
+		return r
+	case ctx.Err() != nil:
+		return gate.Doubtful(spar.ReasonDeadline, f.Error())
+	default:
+		return gate.Doubtful(spar.ReasonBroken, f.Error())
+	}
+}
+
+// decodeResult reads another node's answer.
+func decodeResult(resp *http.Response) gate.Result {
+	r := gate.Result{
+		Outcome: spar.Outcome(resp.Header.Get(spar.HeaderOutcome)),
+		Reason:  spar.Reason(resp.Header.Get(spar.HeaderReason)),
+		Arrived: resp.Header.Get(hopArrived) != "",
+		Detail:  resp.Header.Get(hopDetail),
+		Status:  resp.StatusCode, Header: resp.Header, Body: resp.Body, Length: resp.ContentLength,
+	}
+
+	if ms, err := strconv.Atoi(resp.Header.Get(hopRetryAfter)); err == nil {
+		r.RetryAfter = spar.Millis(ms)
+	}
+
+	gate.StripHop(r.Header)
+	stripOwn(r.Header)
+
+	switch r.Outcome {
+	case spar.OutcomeCompleted:
+		return r
+	case spar.OutcomeNotRun, spar.OutcomeUnknown:
+	default:
+		r = gate.Doubtful(spar.ReasonBroken, "answer names no outcome")
+	}
+
+	_, _ = io.Copy(io.Discard, resp.Body)
+	_ = resp.Body.Close()
+	r.Body = nil
+
+	return r
+}
--- /dev/null
+++ b/gate/gate.go
@@ -0,0 +1,215 @@
+package gate
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+
+	"github.com/charmbracelet/log"
+
+	spar "sardinespar.example/spar"
+	"sardinespar.example/spar/conns"
+	"sardinespar.example/spar/rules"
+)
+
+// Settings are the settings of a gate.
+type Settings struct {
+	// Addr is the backend server's address.
+	Addr    string
+	Service string
+	Names   spar.HeaderNames
+	// ColdShare is the part of a cold backend server's rate that is used.
+	ColdShare float64
+	// WholeBytes is the size up to which an answer is read whole before it is passed on.
+	WholeBytes int64
+}
+
+// Deps are what a gate works with.
+type Deps struct {
+	Clock spar.Clock
+	Pool  *conns.Pool
+	Log   *log.Logger
+	// Rules returns the rules in force, or nil.
+	Rules func() *rules.Set
+	// Evacuated reports whether the VM's availability zone is taken out.
+	Evacuated func() bool
+}
+
+// Gate passes requests to the backend server beside this node. All requests to it pass here, so its
+// counts are exact.
+type Gate struct {
+	cfg   Settings
+	deps  Deps
+	queue *Queue
+	rate  Rate
+	keys  *KeyLoad
+
+	state   atomic.Pointer[Upstream]
+	mu      sync.Mutex
+	probing bool
+	// cut is closed when the backend server leaves, so that waiting requests are refused.
+	cut chan struct{}
+}
+
+// New returns a gate without a backend server.
+func New(cfg Settings, deps Deps) *Gate {
+	g := &Gate{cfg: cfg, deps: deps, queue: NewQueue(deps.Clock), keys: NewKeyLoad(deps.Clock), cut: make(chan struct{})}
+	g.state.Store(&Upstream{})
+
+	return g
+}
+
+// Upstream returns what is known of the backend server.
+func (g *Gate) Upstream() Upstream {
+	return *g.state.Load()
+}
+
+// Update replaces what is known of the backend server by f's result.
+func (g *Gate) Update(f func(Upstream) Upstream) Upstream {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	last := g.state.Load()
+	next := f(*last)
+
+	if next.Life != last.Life && !last.Life.IsZero() {
+		g.deps.Pool.Forget(g.cfg.Addr)
+	}
+
+	if last.Ready && !next.Ready {
+		close(g.cut)
+		g.cut = make(chan struct{})
+	}
+
+	if next.Slots != last.Slots {
+		g.queue.Resize(next.Slots)
+	}
+
+	g.state.Store(&next)
+
+	return next
+}
+
+// Load returns the load of the backend server.
+func (g *Gate) Load() Load {
+	return g.queue.Load()
+}
+
+// Keys returns the measured load by key.
+func (g *Gate) Keys() *KeyLoad {
+	return g.keys
+}
+
+func (g *Gate) left() <-chan struct{} {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	return g.cut
+}
+
+// Serve runs a request at the backend server, or says why not.
+func (g *Gate) Serve(ctx context.Context, req Request) Result {
+	if req.Key != NoKey {
+		g.keys.Note(req.Key)
+	}
+
+	left := g.left()
+	if r, ok := g.check(req); !ok {
+		return r
+	}
+
+	e := &Entrant{Priority: req.Priority, Objective: req.Objective, Deadline: req.Deadline}
+	if ok, after := g.queue.Enter(e); !ok {
+		return Refused(spar.ReasonShed, after)
+	}
+
+	if r, ok := g.wait(ctx, e, req, left); !ok {
+		g.queue.Leave(e)
+
+		return r
+	}
+
+	// What the gate knows may have changed during the wait.
+	if r, ok := g.check(req); !ok {
+		g.queue.Leave(e)
+
+		return r
+	}
+
+	if r, ok := g.pace(req); !ok {
+		g.queue.Leave(e)
+
+		return r
+	}
+
+	return g.run(ctx, e, req)
+}
+
+// check refuses what the backend server must not or can't run.
+func (g *Gate) check(req Request) (Result, bool) {
+	u := g.Upstream()
+	now := g.deps.Clock.Now()
+
+	switch {
+	case u.Life.IsZero() || u.Down:
+		return Refused(spar.ReasonUnreachable, retryLeast), false
+	case !u.Ready:
+		return Refused(spar.ReasonLeaving, retryLeast), false
+	case req.Service != u.Service || req.Life != "" && req.Life != u.Life.ID:
+		return Refused(spar.ReasonNotOwner, retryLeast), false
+	case g.deps.Evacuated():
+		return Refused(spar.ReasonLeaving, retryLeast), false
+	case req.Key != NoKey && !u.HoldsKey(req.Key, now):
+		return Refused(spar.ReasonNotOwner, retryLeast), false
+	case now >= req.Deadline:
+		return Refused(spar.ReasonDeadline, 0), false
+	}
+
+	return Result{}, true
+}
+
+func (g *Gate) wait(ctx context.Context, e *Entrant, req Request, left <-chan struct{}) (Result, bool) {
+	select {
+	case <-e.Turn():
+		return Result{}, true
+	default:
+	}
+
+	t := g.deps.Clock.Timer(min(req.Deadline, req.Objective) - g.deps.Clock.Now())
+	defer t.Stop()
+
+	select {
+	case <-e.Turn():
+		return Result{}, true
+	case <-left:
+		return Refused(spar.ReasonLeaving, retryLeast), false
+	case <-t.C:
+		return Refused(spar.ReasonShed, g.Load().Wait()), false
+	case <-ctx.Done():
+		return Refused(spar.ReasonDeadline, 0), false
+	}
+}
+
+// pace holds a cold backend server's requests to the rate that it bears.
+func (g *Gate) pace(req Request) (Result, bool) {
+	now := g.deps.Clock.Now()
+	if !g.Upstream().Cold(now) {
+		g.rate.Note(now)
+
+		return Result{}, true
+	}
+
+	most := 1
+
+	if set := g.deps.Rules(); set != nil {
+		if s, ok := set.Service(req.Service); ok {
+			most = max(1, int(s.ColdPerSecond*g.cfg.ColdShare))
+		}
+	}
+
+	if wait, ok := g.rate.Take(now, most); !ok {
+		return Refused(spar.ReasonShed, max(retryLeast, wait)), false
+	}
+
+	return Result{}, true
+}
--- /dev/null
+++ b/gate/queue.go
@@ -0,0 +1,175 @@
+package gate
+
+import (
+	"math"
+	"sync"
+
+	spar "sardinespar.example/spar"
+)
+
+const (
+	// serviceStart is the service time assumed before any was measured.
+	serviceStart spar.Millis = 50
+	// serviceGain is the weight of a new service time in the average.
+	serviceGain = 0.05
+	// retryLeast is the shortest time after which a refused request may come back.
+	retryLeast spar.Millis = 30
+)
+
+// Entrant is a request that wants a slot.
+type Entrant struct {
+	Priority  int
+	Objective spar.Millis
+	Deadline  spar.Millis
+	arrival   int64
+	turn      chan struct{}
+	running   bool
+}
+
+// Queue gives a backend server's slots to requests. A higher priority goes first, and within one the
+// earlier arrival. A request that could not meet its objective is refused on arrival, so that under a
+// burst those that wait are still served in time; only a free slot is given to a late one.
+type Queue struct {
+	clock spar.Clock
+
+	mu      sync.Mutex
+	slots   int
+	running int
+	waiting []*Entrant
+	arrived int64
+	service float64
+}
+
+// NewQueue returns a queue for one slot.
+func NewQueue(clock spar.Clock) *Queue {
+	return &Queue{clock: clock, slots: 1, service: float64(serviceStart)}
+}
+
+// Resize sets the number of slots.
+func (q *Queue) Resize(slots int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	q.slots = max(1, slots)
+	q.advance()
+}
+
+// Load is a queue's load at one moment.
+type Load struct {
+	Slots   int         `json:"slots"`
+	Running int         `json:"running"`
+	Waiting int         `json:"waiting"`
+	Service spar.Millis `json:"service_ms"`
+}
+
+// Load returns the load.
+func (q *Queue) Load() Load {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	return Load{Slots: q.slots, Running: q.running, Waiting: len(q.waiting), Service: spar.Millis(q.service)}
+}
+
+// Wait returns how long a request that arrives now is likely to wait for a slot.
+func (l Load) Wait() spar.Millis {
+	ahead := l.Running + l.Waiting - l.Slots + 1
+	if ahead <= 0 || l.Slots == 0 {
+		return 0
+	}
+
+	return l.Service * spar.Millis(ahead) / spar.Millis(l.Slots)
+}
+
+// Enter takes a slot or a place to wait. It returns false and a time to come back if the request would
+// not be served in time. The channel is closed when the slot is given.
+func (q *Queue) Enter(e *Entrant) (ok bool, after spar.Millis) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	q.arrived++
+	e.arrival = q.arrived
+	e.turn = make(chan struct{})
+
+	if q.running < q.slots && len(q.waiting) == 0 {
+		q.start(e)
+
+		return true, 0
+	}
+
+	ahead := 1
+	for _, o := range q.waiting {
+		if o.Priority <= e.Priority {
+			ahead++
+		}
+	}
+
+	now := q.clock.Now()
+	wait := spar.Millis(q.service * float64(ahead) / float64(q.slots))
+	end := now + wait + spar.Millis(q.service)
+
+	if end > min(e.Objective, e.Deadline) {
+		return false, max(retryLeast, wait)
+	}
+
+	q.waiting = append(q.waiting, e)
+
+	return true, 0
+}
+
+// Turn is closed when the entrant has a slot.
+func (e *Entrant) Turn() <-chan struct{} {
+	return e.turn
+}
+
+// Leave gives back the entrant's slot, or its place to wait.
+func (q *Queue) Leave(e *Entrant) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	if e.running {
+		e.running = false
+		q.running--
+		q.advance()
+
+		return
+	}
+
+	for i, o := range q.waiting {
+		if o == e {
+			q.waiting = append(q.waiting[:i], q.waiting[i+1:]...)
+
+			return
+		}
+	}
+}
+
+// Served takes the time that the backend server took for a request into the average.
+func (q *Queue) Served(d spar.Millis) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	q.service += serviceGain * (math.Max(1, float64(d)) - q.service)
+}
+
+func (q *Queue) start(e *Entrant) {
+	q.running++
+	e.running = true
+	close(e.turn)
+}
+
+// advance gives free slots to those that wait.
+func (q *Queue) advance() {
+	for q.running < q.slots && len(q.waiting) > 0 {
+		best := 0
+		for i, e := range q.waiting {
+			b := q.waiting[best]
+			if e.Priority < b.Priority || e.Priority == b.Priority && e.arrival < b.arrival {
+				best = i
+			}
+		}
+
+		e := q.waiting[best]
+		q.waiting = append(q.waiting[:best], q.waiting[best+1:]...)
+		q.start(e)
+	}
+}
--- /dev/null
+++ b/mesh/mesh.go
@@ -0,0 +1,291 @@
+package mesh
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"slices"
+	"sync"
+
+	"github.com/charmbracelet/log"
+
+	spar "sardinespar.example/spar"
+	"sardinespar.example/spar/gate"
+	"sardinespar.example/spar/peers"
+)
+
+const (
+	methodState = "mesh.state"
+
+	// roundLeast is the shortest time between two exchanges with a peer, and roundPerNode stretches it
+	// with the number of nodes, so that a node's traffic stays the same at any size.
+	roundLeast   spar.Millis = 400
+	roundPerNode spar.Millis = 15
+	// callTimeout bounds an exchange.
+	callTimeout spar.Millis = 600
+	// forgetAfter is how long a silent peer is called.
+	forgetAfter spar.Millis = 60_000
+)
+
+// Deps are what a mesh works with.
+type Deps struct {
+	Clock  spar.Clock
+	Caller peers.Caller
+	Log    *log.Logger
+	// Self returns the state of this node.
+	Self func() State
+}
+
+// Mesh keeps the states of the other nodes.
+type Mesh struct {
+	deps Deps
+	name string
+
+	mu      sync.Mutex
+	peers   map[string]Peer
+	kicks   map[string]chan struct{}
+	started map[string]bool
+	fresh   chan string
+}
+
+// New returns a mesh of one node.
+func New(name string, deps Deps) *Mesh {
+	const pending = 64
+
+	return &Mesh{
+		deps: deps, name: name, peers: map[string]Peer{}, kicks: map[string]chan struct{}{},
+		started: map[string]bool{}, fresh: make(chan string, pending),
+	}
+}
+
+// Register adds the mesh's methods to a mux.
+func (m *Mesh) Register(mux *peers.Mux) {
+	peers.Handle(mux, methodState, func(_ context.Context, s State) (State, error) {
+		if s.Node == "" || s.PeerAddr == "" {
+			return State{}, errors.New("state names no node")
+		}
+
+		m.hear(s)
+
+		return m.deps.Self(), nil
+	})
+}
+
+// Learn adds a node that is known from the table.
+func (m *Mesh) Learn(name, addr, zone, service string) {
+	m.mu.Lock()
+	p, known := m.peers[name]
+	if !known || p.Heard == 0 {
+		m.peers[name] = Peer{State: State{Node: name, PeerAddr: addr, Zone: zone, Service: service}}
+	}
+	m.mu.Unlock()
+
+	m.start(name)
+}
+
+func (m *Mesh) hear(s State) {
+	if s.Node == m.name {
+		return
+	}
+
+	m.mu.Lock()
+	p, known := m.peers[s.Node]
+	if known && p.Newer(s) && p.Heard > 0 {
+		s = p.State
+	}
+
+	m.peers[s.Node] = Peer{State: s, Heard: m.deps.Clock.Now()}
+	m.mu.Unlock()
+
+	m.start(s.Node)
+}
+
+// start asks for a task that exchanges states with a peer.
+func (m *Mesh) start(name string) {
+	if name == m.name {
+		return
+	}
+
+	m.mu.Lock()
+	defer m.mu.Unlock()
+
+	if m.started[name] {
+		return
+	}
+
+	select {
+	case m.fresh <- name:
+		m.started[name] = true
+		m.kicks[name] = make(chan struct{}, 1)
+	default:
+	}
+}
+
+// Peers returns all other nodes, sorted by name.
+func (m *Mesh) Peers() []Peer {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+
+	return slices.SortedFunc(maps.Values(m.peers), func(a, b Peer) int {
+		if a.Node < b.Node {
+			return -1
+		}
+
+		return 1
+	})
+}
+
+// Peer returns a node by name.
+func (m *Mesh) Peer(name string) (Peer, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+
+	p, ok := m.peers[name]
+
+	return p, ok
+}
+
+// Kick sends this node's state to all others at once.
+func (m *Mesh) Kick() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+
+	for _, c := range m.kicks {
+		select {
+		case c <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// Broadcast calls a method of all live peers and doesn't wait for the answers.
+func (m *Mesh) Broadcast(ctx context.Context, method string, params any) {
+	now := m.deps.Clock.Now()
+
+	for _, p := range m.Peers() {
+		if p.Alive(now, forgetAfter) {
+			go m.runCall(ctx, p.PeerAddr, method, params)
+		}
+	}
+}
+
+func (m *Mesh) runCall(ctx context.Context, addr, method string, params any) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout.Duration())
+	defer cancel()
+
+	if err := m.deps.Caller.Call(ctx, addr, method, params, nil); err != nil {
+		m.deps.Log.Debug("peer not notified", "peer_addr", addr, "method", method, "cause", err)
+	}
+}
+
+// Run exchanges states until ctx ends.
+func (m *Mesh) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case name := <-m.fresh:
+			wg.Go(func() { m.loop(ctx, name) })
+		}
+	}
+}
+
+// loop exchanges states with one peer. Of two nodes the one with the lower name calls, unless the other
+// doesn't hear from it.
+func (m *Mesh) loop(ctx context.Context, name string) {
+	defer m.stop(name)
+
+	m.mu.Lock()
+	kick := m.kicks[name]
+	m.mu.Unlock()
+
+	for first := m.deps.Clock.Now(); ctx.Err() == nil; {
+		p, _ := m.Peer(name)
+		now := m.deps.Clock.Now()
+		round := m.round()
+
+		if now-max(first, p.Heard) > forgetAfter {
+			return
+		}
+
+		if m.name < name || now-p.Heard > 2*round || len(kick) > 0 {
+			m.exchange(ctx, p)
+		}
+
+		m.pause(ctx, kick, round)
+	}
+}
+
+func (m *Mesh) pause(ctx context.Context, kick chan struct{}, round spar.Millis) {
+	t := m.deps.Clock.Timer(round)
+	defer t.Stop()
+
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	case <-kick:
+		// The exchange takes the place of the notice.
+		select {
+		case kick <- struct{}{}:
+		default:
+		}
+	}
+}
+
+func (m *Mesh) exchange(ctx context.Context, p Peer) {
+	m.mu.Lock()
+	if kick := m.kicks[p.Node]; len(kick) > 0 {
+		<-kick
+	}
+	m.mu.Unlock()
+
+	ctx, cancel := context.WithTimeout(ctx, callTimeout.Duration())
+	defer cancel()
+
+	var s State
+	if err := m.deps.Caller.Call(ctx, p.PeerAddr, methodState, m.deps.Self(), &s); err != nil {
+		m.deps.Log.Debug("peer does not answer", "peer", p.Node, "cause", err)
+
+		return
+	}
+
+	if s.Node == p.Node {
+		m.hear(s)
+	}
+}
+
+// stop forgets a peer.
+func (m *Mesh) stop(name string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+
+	delete(m.peers, name)
+	delete(m.kicks, name)
+	delete(m.started, name)
+}
+
+func (m *Mesh) round() spar.Millis {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+
+	return max(roundLeast, roundPerNode*spar.Millis(len(m.peers)))
+}
+
+// Silence returns how long a live peer may be silent.
+func (m *Mesh) Silence() spar.Millis {
+	return 2*m.round() + callTimeout
+}
+
+// Loaded takes a newer load of a peer's backend server from one of its answers.
+func (m *Mesh) Loaded(name string, l gate.Load) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+
+	if p, ok := m.peers[name]; ok {
+		p.Load = l
+		m.peers[name] = p
+	}
+}
--- /dev/null
+++ b/owner/beat.go
@@ -0,0 +1,234 @@
+package owner
+
+import (
+	"context"
+	"fmt"
+	"slices"
+
+	spar "sardinespar.example/spar"
+	"sardinespar.example/spar/gate"
+	"sardinespar.example/spar/keymap"
+)
+
+// rebindWait bounds how long the answer to a new backend server's first heartbeat waits for the table.
+const rebindWait spar.Millis = 400
+
+// Beat takes a heartbeat and returns what the backend server may hold. A heartbeat that can't be of the
+// backend server beside this node is an error and changes nothing.
+func (o *Owner) Beat(ctx context.Context, b Beat) (Grant, error) {
+	switch {
+	case b.Addr != o.cfg.AppAddr:
+		return Grant{}, fmt.Errorf("heartbeat of %s names address %s, not %s", b.Life.ID, b.Addr, o.cfg.AppAddr)
+	case b.Service != o.cfg.Service:
+		return Grant{}, fmt.Errorf("heartbeat of %s names service %s, not %s", b.Life.ID, b.Service, o.cfg.Service)
+	}
+
+	received := o.deps.Clock.Now()
+	fresh, current := o.hear(b, received)
+
+	if !current {
+		o.deps.Log.Info("late heartbeat", "id", b.Life.ID, "born", b.Life.Born, "seq", b.Seq)
+
+		return Grant{}, nil
+	}
+
+	if fresh {
+		o.deps.Log.Info("backend server reports", "id", b.Life.ID, "born", b.Life.Born, "slots", b.Slots,
+			"cold_ms", int(b.Cold), "draining", b.Draining)
+	}
+
+	o.updateGate(b, received)
+
+	if keyed, _ := o.deps.Keyed(o.cfg.Service); !keyed {
+		return Grant{}, nil
+	}
+
+	o.settle(b)
+	o.rebind(ctx, b.Life)
+
+	return o.grant(b, received), nil
+}
+
+// hear takes the heartbeat's life and number. Current is false for one that came late.
+func (o *Owner) hear(b Beat, now spar.Millis) (fresh, current bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+
+	switch {
+	case b.Life.Born < o.life.Born || b.Life.Born <= o.gone.Born:
+		return false, false
+	case b.Life == o.life && b.Seq <= o.seq:
+		return false, false
+	}
+
+	fresh = b.Life != o.life || b.Draining != o.drains
+	if b.Life != o.life {
+		// The backend server before it ran at the same address, so it has ended and holds nothing.
+		o.moves = nil
+		o.holdEnd = 0
+	}
+
+	o.life, o.seq, o.drains, o.heard = b.Life, b.Seq, b.Draining, now
+
+	return fresh, true
+}
+
+func (o *Owner) updateGate(b Beat, now spar.Millis) {
+	last := o.deps.Gate.Upstream()
+	next := o.deps.Gate.Update(func(u gate.Upstream) gate.Upstream {
+		if u.Life != b.Life {
+			u = gate.Upstream{Life: b.Life, Service: b.Service}
+		}
+
+		u.Slots, u.Ready, u.Down, u.Unsure = b.Slots, !b.Draining, false, false
+		if b.Cold > 0 {
+			u.ColdUntil = now + b.Cold
+		}
+
+		return u
+	})
+
+	if next.Life != last.Life || next.Ready != last.Ready {
+		o.deps.Mesh.Kick()
+	}
+}
+
+// settle marks the spans that the backend server no longer holds.
+func (o *Owner) settle(b Beat) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+
+	for i := range o.moves {
+		m := &o.moves[i]
+
+		for _, r := range b.Released {
+			if m.Overlaps(r.Span) {
+				m.handover = append(m.handover, r)
+			}
+		}
+
+		held := slices.ContainsFunc(b.Holds, m.Overlaps)
+		m.free = m.omitted && !held
+	}
+
+	if b.Draining {
+		o.releaseAllLocked()
+	}
+}
+
+// releaseAllLocked gives up all keys of this node.
+func (o *Owner) releaseAllLocked() {
+	for _, r := range o.deps.Maps.get(o.cfg.Service).Map.Of(o.cfg.Node) {
+		if !slices.ContainsFunc(o.moves, func(m move) bool { return m.Overlaps(r.Span) }) {
+			o.moves = append(o.moves, move{Span: r.Span})
+		}
+	}
+}
+
+// rebind gives this node's keys to a new life of its backend server, under new epochs.
+func (o *Owner) rebind(ctx context.Context, life spar.Life) {
+	stale := func(m keymap.Map) bool {
+		return slices.ContainsFunc(m.Of(o.cfg.Node), func(r keymap.Range) bool { return r.Life != life })
+	}
+
+	if !o.Leased() || !stale(o.deps.Maps.get(o.cfg.Service).Map) {
+		return
+	}
+
+	ctx, cancel := context.WithTimeout(ctx, rebindWait.Duration())
+	defer cancel()
+
+	o.change(ctx, func(m keymap.Map) (keymap.Map, bool) {
+		if !stale(m) {
+			return m, false
+		}
+
+		return m.WithLife(o.cfg.Node, life), true
+	}, o.leased)
+}
+
+// grant returns what the backend server may hold, as long as the lease allows.
+func (o *Owner) grant(b Beat, received spar.Millis) Grant {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+
+	if b.Life != o.life || o.lease.revision == 0 {
+		return Grant{}
+	}
+
+	left := (o.lease.until-received)/(1+clockError) - grantMargin
+	hold := min(o.cfg.HoldFor, left)
+
+	if hold < grantLeast {
+		o.deps.Log.Warn("no grant: lease ends", "left_ms", int(left))
+
+		return Grant{}
+	}
+
+	var ranges []keymap.Range
+
+	spans := make([]keymap.Span, 0, len(ranges))
+
+	for _, r := range o.deps.Maps.get(o.cfg.Service).Map.Of(o.cfg.Node) {
+		if r.Life != b.Life {
+			continue
+		}
+
+		ranges = append(ranges, o.keptLocked(r)...)
+	}
+
+	for i := range o.moves {
+		o.moves[i].omitted = true
+	}
+
+	for _, r := range ranges {
+		spans = append(spans, r.Span)
+	}
+
+	o.holdEnd = max(o.holdEnd, received+hold*(1+clockError))
+	o.deps.Gate.Update(func(u gate.Upstream) gate.Upstream {
+		if u.Life != b.Life {
+			return u
+		}
+
+		return u.WithHolds(spans, received+hold-grantMargin)
+	})
+
+	return Grant{Ranges: ranges, For: hold}
+}
+
+// keptLocked returns the parts of a range that aren't being given up.
+func (o *Owner) keptLocked(r keymap.Range) []keymap.Range {
+	m := keymap.Map{Ranges: []keymap.Range{r}}
+	for _, mv := range o.moves {
+		m = m.Without(mv.Span)
+	}
+
+	return m.Ranges
+}
+
+// Leave takes the word of a backend server that it ends. It may run on for a while, so its holds count
+// until they run out.
+func (o *Owner) Leave(id string) {
+	o.mu.Lock()
+
+	if o.life.ID != id {
+		o.mu.Unlock()
+		o.deps.Log.Info("unknown backend server leaves", "id", id)
+
+		return
+	}
+
+	o.gone = o.life
+	o.mu.Unlock()
+	o.deps.Log.Info("backend server leaves", "id", id)
+	o.deps.Gate.Update(func(u gate.Upstream) gate.Upstream {
+		if u.Life.ID == id {
+			u.Ready = false
+			u = u.WithHolds(nil, 0)
+		}
+
+		return u
+	})
+	o.deps.Mesh.Kick()
+}
--- /dev/null
+++ b/owner/lease.go
@@ -0,0 +1,216 @@
+package owner
+
+import (
+	"context"
+	"encoding/json"
+
+	spar "sardinespar.example/spar"
+)
+
+// lease is the node's lease as the node knows it. A lease without a revision has not been taken.
+type lease struct {
+	revision spar.Revision
+	until    spar.Millis
+}
+
+// retryPause is the pause after a failed call of the table.
+const retryPause spar.Millis = 150
+
+// loopLease takes the lease and renews it.
+func (o *Owner) loopLease(ctx context.Context) {
+	for ctx.Err() == nil {
+		o.mu.Lock()
+		held := o.lease.revision != 0
+		o.mu.Unlock()
+
+		pause := o.cfg.RenewEvery
+
+		ok := true
+
+		switch keyed, known := o.deps.Keyed(o.cfg.Service); {
+		case !held:
+			ok = o.take(ctx)
+		case keyed || !known:
+			ok = o.renew(ctx)
+		}
+
+		if !ok {
+			pause = retryPause
+		}
+
+		o.deps.Clock.Sleep(ctx, pause)
+	}
+}
+
+func (o *Owner) leaseValue() json.RawMessage {
+	return encode(leaseRow{Node: o.cfg.Node, Incarnation: o.cfg.Incarnation, Addr: o.cfg.AppAddr})
+}
+
+// take writes a lease of this incarnation and then reads the map: what an earlier incarnation sent to
+// the table can't take effect after that, since its transactions name the earlier lease's revision.
+func (o *Owner) take(ctx context.Context) bool {
+	key := leaseKey(o.cfg.Service, o.cfg.Node)
+
+	row, found, err := o.get(ctx, key)
+	if err != nil {
+		o.deps.Log.Warn("lease can't be read", "cause", err)
+
+		return false
+	}
+
+	if found && !o.mayReplace(row) {
+		return false
+	}
+
+	sent := o.deps.Clock.Now()
+	result := o.commit(ctx, spar.Txn{
+		Conditions: []spar.Condition{{Key: key, Revision: row.Revision}},
+		Writes: []spar.Write{
+			{Key: key, Value: o.leaseValue()},
+			{Key: nodeKey(o.cfg.Service, o.cfg.Node), Value: encode(NodeRow{
+				Node: o.cfg.Node, PeerAddr: o.cfg.PeerAddr, Zone: o.cfg.Zone, Service: o.cfg.Service,
+			})},
+		},
+	})
+
+	if result.Verdict != spar.Applied {
+		o.deps.Log.Warn("lease not taken", "verdict", result.Verdict)
+
+		return false
+	}
+
+	if !o.reload(ctx) {
+		return false
+	}
+
+	o.mu.Lock()
+	o.lease = lease{revision: result.Revision, until: sent + o.cfg.LeaseFor}
+	o.mu.Unlock()
+	o.deps.Log.Info("lease taken", "revision", result.Revision, "replaces", row.Revision)
+
+	return true
+}
+
+// mayReplace reports whether a lease row is of an earlier process at this node's own addresses, which
+// has ended, since only one process can listen there.
+func (o *Owner) mayReplace(row spar.Row) bool {
+	var l leaseRow
+	if err := json.Unmarshal(row.Value, &l); err != nil {
+		o.deps.Log.Warn("lease row can't be read; it is replaced", "revision", row.Revision, "cause", err)
+
+		return true
+	}
+
+	if l.Addr == o.cfg.AppAddr {
+		return true
+	}
+
+	return o.expired(leaseKey(o.cfg.Service, o.cfg.Node), row.Revision)
+}
+
+// renew writes the lease again. A refused renewal means that the row has changed: by an earlier
+// renewal whose answer was lost, or by a node that took over.
+func (o *Owner) renew(ctx context.Context) bool {
+	key := leaseKey(o.cfg.Service, o.cfg.Node)
+
+	o.mu.Lock()
+	held := o.lease
+	o.mu.Unlock()
+
+	sent := o.deps.Clock.Now()
+	result := o.commit(ctx, spar.Txn{
+		Conditions: []spar.Condition{{Key: key, Revision: held.revision}},
+		Writes:     []spar.Write{{Key: key, Value: o.leaseValue()}},
+	})
+
+	switch result.Verdict {
+	case spar.Applied:
+		o.extend(held.revision, lease{revision: result.Revision, until: sent + o.cfg.LeaseFor})
+
+		return true
+	case spar.Rejected:
+		o.recover(ctx, held)
+	default:
+		o.deps.Log.Warn("lease renewal unknown", "left_ms", int(held.until-o.deps.Clock.Now()))
+	}
+
+	return false
+}
+
+func (o *Owner) extend(from spar.Revision, l lease) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+
+	if o.lease.revision == from {
+		o.lease = l
+	}
+}
+
+// recover looks at the lease row after a refused renewal.
+func (o *Owner) recover(ctx context.Context, held lease) {
+	row, found, err := o.get(ctx, leaseKey(o.cfg.Service, o.cfg.Node))
+	if err != nil {
+		o.deps.Log.Warn("lease can't be read", "cause", err)
+
+		return
+	}
+
+	var l leaseRow
+	if found && json.Unmarshal(row.Value, &l) == nil && l.Incarnation == o.cfg.Incarnation {
+		// The row is this node's own, written by a renewal without an answer. Its time is not known, so
+		// the lease's end stays.
+		o.extend(held.revision, lease{revision: row.Revision, until: held.until})
+
+		return
+	}
+
+	o.mu.Lock()
+	o.lease = lease{}
+	o.mu.Unlock()
+	o.deps.Log.Error("lease lost", "revision", held.revision, "found", found)
+}
+
+// reload reads the map of this node's service.
+func (o *Owner) reload(ctx context.Context) bool {
+	_, ok := o.readMap(ctx)
+
+	return ok
+}
+
+func (o *Owner) readMap(ctx context.Context) (versioned, bool) {
+	row, found, err := o.get(ctx, mapKey(o.cfg.Service))
+	if err != nil {
+		o.deps.Log.Warn("map of owners can't be read", "cause", err)
+
+		return versioned{}, false
+	}
+
+	if !found {
+		return versioned{}, true
+	}
+
+	v, err := decodeMap(row)
+	if err != nil {
+		o.deps.Log.Error("map of owners can't be decoded", "revision", row.Revision, "cause", err)
+
+		return versioned{}, false
+	}
+
+	o.adopt(o.cfg.Service, v)
+
+	return v, true
+}
+
+func (o *Owner) get(ctx context.Context, key string) (spar.Row, bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, o.cfg.StoreTimeout.Duration())
+	defer cancel()
+
+	return o.deps.Table.Get(ctx, key)
+}
+
+func (o *Owner) commit(ctx context.Context, txn spar.Txn) spar.Commit {
+	ctx, cancel := context.WithTimeout(ctx, o.cfg.StoreTimeout.Duration())
+	defer cancel()
+
+	return o.deps.Table.Commit(ctx, txn)
+}
--- /dev/null
+++ b/owner/owner.go
@@ -0,0 +1,152 @@
+package owner
+
+import (
+	"context"
+	"sync"
+
+	"github.com/charmbracelet/log"
+
+	spar "sardinespar.example/spar"
+	"sardinespar.example/spar/gate"
+	"sardinespar.example/spar/keymap"
+	"sardinespar.example/spar/mesh"
+	"sardinespar.example/spar/peers"
+)
+
+const (
+	methodMap   = "owner.map"
+	methodOffer = "owner.offer"
+
+	// clockError bounds how much faster or slower two clocks run.
+	clockError = 0.02
+	// grantMargin is kept between the end of a grant and the end of the lease.
+	grantMargin spar.Millis = 100
+	// grantLeast is the shortest grant that is worth giving.
+	grantLeast spar.Millis = 300
+)
+
+// Settings are the settings of an owner.
+type Settings struct {
+	Node        string
+	Incarnation string
+	Zone        string
+	Service     string
+	PeerAddr    string
+	// AppAddr is the address of the backend server beside this node.
+	AppAddr string
+	// LeaseFor is how long a lease lasts after its renewal was sent.
+	LeaseFor spar.Millis
+	// RenewEvery is the pause between two renewals.
+	RenewEvery spar.Millis
+	// HoldFor is the longest grant to the backend server.
+	HoldFor spar.Millis
+	// StoreTimeout bounds a call of the table.
+	StoreTimeout spar.Millis
+}
+
+// Deps are what an owner works with.
+type Deps struct {
+	Clock spar.Clock
+	Table spar.Table
+	Maps  *Maps
+	Gate  *gate.Gate
+	Mesh  *mesh.Mesh
+	Peers peers.Caller
+	Log   *log.Logger
+	// Keyed reports whether a service is divided by key, and whether that is known.
+	Keyed func(service string) (keyed, known bool)
+	// Evacuated reports whether an availability zone is taken out.
+	Evacuated func(zone string) bool
+}
+
+// Owner keeps the keys of one backend server.
+type Owner struct {
+	cfg  Settings
+	deps Deps
+
+	// turn is held while the map is changed.
+	turn chan struct{}
+
+	mu    sync.Mutex
+	lease lease
+	// life is the backend server that reports, and gone the newest one that said that it leaves for good.
+	life    spar.Life
+	gone    spar.Life
+	seq     int64
+	drains  bool
+	heard   spar.Millis
+	holdEnd spar.Millis
+	// moves are the spans that are given up, with the node that is to have each, if one is named.
+	moves    []move
+	lastMove spar.Millis
+	incoming spar.Millis
+	suspects map[string]suspect
+}
+
+// move is a span that the backend server is to release.
+type move struct {
+	keymap.Span
+
+	to string
+	// omitted says that a heartbeat was answered without the span.
+	omitted bool
+	// free says that the backend server no longer holds the span.
+	free     bool
+	handover []Released
+}
+
+// New returns an owner that holds nothing.
+func New(cfg Settings, deps Deps) *Owner {
+	now := deps.Clock.Now()
+
+	return &Owner{
+		cfg: cfg, deps: deps, turn: make(chan struct{}, 1), suspects: map[string]suspect{},
+		// An earlier process here may have granted keys until the moment it ended.
+		heard: now, holdEnd: now + cfg.HoldFor*(1+clockError),
+	}
+}
+
+// Register adds the owner's methods to a mux.
+func (o *Owner) Register(mux *peers.Mux) {
+	peers.Handle(mux, methodMap, func(_ context.Context, p mapNotice) (struct{}, error) {
+		o.adopt(p.Service, p.versioned)
+
+		return struct{}{}, nil
+	})
+	peers.Handle(mux, methodOffer, func(_ context.Context, p offer) (offerReply, error) {
+		return offerReply{Accepted: o.accept(p)}, nil
+	})
+}
+
+// mapNotice tells a peer a map that was just written.
+type mapNotice struct {
+	versioned
+
+	Service string `json:"service"`
+}
+
+// adopt takes a map that was read or told.
+func (o *Owner) adopt(service string, v versioned) {
+	if o.deps.Maps.put(service, v) {
+		o.deps.Log.Info("map of owners", "service", service, "revision", v.Revision, "ranges", len(v.Map.Ranges),
+			"own", len(v.Map.Of(o.cfg.Node)))
+	}
+}
+
+// Leased reports whether the node's lease holds.
+func (o *Owner) Leased() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+
+	return o.deps.Clock.Now() < o.lease.until
+}
+
+// Run keeps the lease and the keys until ctx ends.
+func (o *Owner) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+
+	wg.Go(func() { o.loopLease(ctx) })
+	wg.Go(func() { o.loopMoves(ctx) })
+	wg.Go(func() { o.loopPlan(ctx) })
+}
--- /dev/null
+++ b/owner/values.go
@@ -0,0 +1,115 @@
+// Package owner keeps the keys of the backend server beside this node: the node's lease in the table,
+// the map of owners, the grants to the backend server, and the moves to and from other nodes.
+package owner
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+
+	spar "sardinespar.example/spar"
+	"sardinespar.example/spar/keymap"
+)
+
+// Beat is a heartbeat of the backend server beside this node.
+type Beat struct {
+	Life     spar.Life
+	Service  string
+	Addr     string
+	Slots    int
+	Draining bool
+	// Seq rises within a life, so that a late heartbeat can be told.
+	Seq int64
+	// Cold is how much longer the backend server stays cold.
+	Cold spar.Millis
+	// Holds are the keys that it holds or still works on.
+	Holds []keymap.Span
+	// Released are the keys that it gave up since its last acknowledged heartbeat.
+	Released []Released
+}
+
+// Released is a span that the backend server gave up, with its text for the next holder.
+type Released struct {
+	keymap.Span
+
+	Handover string
+}
+
+// Grant is the answer to a heartbeat: all that the backend server is to hold, and for how long. A grant
+// for no time renews nothing.
+type Grant struct {
+	Ranges []keymap.Range
+	For    spar.Millis
+}
+
+// leaseRow is a node's lease in the table. Its revision is what matters: a lease is over when the row
+// has not been written for the lease's time.
+type leaseRow struct {
+	Node        string `json:"node"`
+	Incarnation string `json:"incarnation"`
+	Addr        string `json:"addr"`
+}
+
+// NodeRow tells other nodes how to reach a node.
+type NodeRow struct {
+	Node     string `json:"node"`
+	PeerAddr string `json:"peer_addr"`
+	Zone     string `json:"zone"`
+	Service  string `json:"service"`
+}
+
+// Table is the table of the nodes and the maps of owners, which all nodes follow.
+const Table = "fleet"
+
+// leaseTable is the table of the leases, which nobody follows. The part after the first slash is the service, so that what changes together lies together.
+const leaseTable = "lease"
+
+func mapKey(service string) string         { return Table + "/" + service + "/map" }
+func nodeKey(service, node string) string  { return Table + "/" + service + "/node/" + node }
+func leaseKey(service, node string) string { return leaseTable + "/" + service + "/" + node }
+
+func encode(v any) json.RawMessage {
+	data, err := json.Marshal(v)
+	if err != nil {
+		panic(fmt.Sprintf("owner: %T can't be encoded: %v", v, err))
+	}
+
+	return data
+}
+
+// versioned is a service's map at a revision of its row; 0 means that there is no row yet.
+type versioned struct {
+	Revision spar.Revision `json:"revision"`
+	Map      keymap.Map    `json:"map"`
+}
+
+// Learn takes a row of the table, and returns the node that it names, if it does.
+func (o *Owner) Learn(row spar.Row) (NodeRow, bool) {
+	_, rest, _ := strings.Cut(row.Key, "/")
+	service, rest, _ := strings.Cut(rest, "/")
+
+	switch {
+	case row.Value == nil:
+		return NodeRow{}, false
+	case rest == "map":
+		v, err := decodeMap(row)
+		if err != nil {
+			o.deps.Log.Error("map of owners can't be decoded", "key", row.Key, "revision", row.Revision, "cause", err)
+
+			return NodeRow{}, false
+		}
+
+		o.adopt(service, v)
+
+		return NodeRow{}, false
+	}
+
+	var n NodeRow
+	if err := json.Unmarshal(row.Value, &n); err != nil || n.Node == "" || n.PeerAddr == "" {
+		o.deps.Log.Error("row of a node can't be decoded", "key", row.Key, "revision", row.Revision, "cause", err)
+
+		return NodeRow{}, false
+	}
+
+	return n, true
+}
--- /dev/null
+++ b/relay/operator.go
@@ -0,0 +1,194 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"sync"
+	"sync/atomic"
+
+	"github.com/charmbracelet/log"
+
+	spar "sardinespar.example/spar"
+	"sardinespar.example/spar/rules"
+)
+
+const (
+	// feedWait is how long the store holds a question for changes open.
+	feedWait spar.Millis = 20_000
+	// feedPause is the pause after a failed question, and rowsTimeout bounds a read of a whole table.
+	feedPause   spar.Millis = 200
+	rowsTimeout spar.Millis = 1500
+)
+
+// operator holds what operators have written: the rules in force and the zones taken out.
+type operator struct {
+	table   Table
+	adapter Adapter
+	clock   spar.Clock
+	log     *log.Logger
+
+	set atomic.Pointer[rules.Set]
+
+	mu  sync.Mutex
+	out map[string]bool
+}
+
+func newOperator(deps Deps) *operator {
+	return &operator{table: deps.Table, adapter: deps.Adapter, clock: deps.Clock, log: deps.Log, out: map[string]bool{}}
+}
+
+// Rules returns the rules in force, or nil.
+func (o *operator) Rules() *rules.Set {
+	return o.set.Load()
+}
+
+// Keyed reports whether a service is divided by key, and whether that is known.
+func (o *operator) Keyed(service string) (keyed, known bool) {
+	set := o.Rules()
+	if set == nil {
+		return false, false
+	}
+
+	s, ok := set.Service(service)
+
+	return s.Keyed, ok
+}
+
+// Evacuated reports whether a zone is taken out.
+func (o *operator) Evacuated(zone string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+
+	return o.out[zone]
+}
+
+// loop follows the operators' table.
+func (o *operator) loop(ctx context.Context) {
+	f := follower{
+		name: o.adapter.OperatorTable(), table: o.table, clock: o.clock, log: o.log,
+		all: o.replace, some: o.apply,
+	}
+	f.loop(ctx)
+}
+
+// replace takes the whole table: zones that are not in it are in.
+func (o *operator) replace(rows []spar.Row) {
+	out := map[string]bool{}
+
+	for _, r := range rows {
+		if zone, gone, ok := o.adapter.Evacuated(r); ok && gone {
+			out[zone] = true
+		}
+	}
+
+	o.mu.Lock()
+	changed := !maps.Equal(out, o.out)
+	o.out = out
+	o.mu.Unlock()
+
+	if changed {
+		o.log.Info("zones taken out", "count", len(out))
+	}
+
+	o.takeRules(rows)
+}
+
+// apply takes changed rows.
+func (o *operator) apply(rows []spar.Row) {
+	for _, r := range rows {
+		zone, out, ok := o.adapter.Evacuated(r)
+		if !ok {
+			continue
+		}
+
+		o.mu.Lock()
+		o.out[zone] = out
+		o.mu.Unlock()
+		o.log.Info("zone changes", "zone", zone, "out", out, "revision", r.Revision)
+	}
+
+	o.takeRules(rows)
+}
+
+// takeRules takes a newer version of the rules. A version never goes back.
+func (o *operator) takeRules(rows []spar.Row) {
+	for _, r := range rows {
+		set, err := o.adapter.Rules(r)
+		if err != nil {
+			o.log.Error("rules refused", "revision", r.Revision, "cause", err)
+
+			continue
+		}
+
+		if last := o.set.Load(); set == nil || last != nil && set.Version <= last.Version {
+			continue
+		}
+
+		o.set.Store(set)
+		o.log.Info("rules in force", "version", set.Version, "revision", r.Revision)
+	}
+}
+
+// follower follows a table: it reads all rows once, and then the changes.
+type follower struct {
+	name  string
+	table Table
+	clock spar.Clock
+	log   *log.Logger
+	all   func([]spar.Row)
+	some  func([]spar.Row)
+}
+
+func (f follower) loop(ctx context.Context) {
+	var (
+		since spar.Revision
+		known bool
+		down  bool
+	)
+
+	for ctx.Err() == nil {
+		next, err := f.step(ctx, since, known)
+
+		switch {
+		case err == nil:
+			if down {
+				f.log.Info("store answers again", "table", f.name, "revision", next)
+			}
+
+			since, known, down = next, true, false
+		case errors.Is(err, spar.ErrHistoryLost):
+			f.log.Warn("history lost; the table is read anew", "table", f.name, "since", since)
+
+			known = false
+		default:
+			if !down && ctx.Err() == nil {
+				f.log.Warn("store does not answer", "table", f.name, "cause", err)
+			}
+
+			down = true
+			f.clock.Sleep(ctx, feedPause)
+		}
+	}
+}
+
+func (f follower) step(ctx context.Context, since spar.Revision, known bool) (spar.Revision, error) {
+	if known {
+		rows, next, err := f.table.Changes(ctx, f.name, since, feedWait)
+		if err == nil && len(rows) > 0 {
+			f.some(rows)
+		}
+
+		return max(since, next), err
+	}
+
+	ctx, cancel := context.WithTimeout(ctx, rowsTimeout.Duration())
+	defer cancel()
+
+	rows, next, err := f.table.Scan(ctx, f.name+"/", 0)
+	if err == nil {
+		f.all(rows)
+	}
+
+	return next, err
+}
--- /dev/null
+++ b/rules/set_test.go
@@ -0,0 +1,71 @@
+package rules_test
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"sardinespar.example/spar/rules"
+)
+
+func rule(host, prefix string, parts ...rules.Part) rules.Rule {
+	return rules.Rule{Name: prefix, Host: host, Prefix: prefix, Kind: rules.Safe, Parts: parts, Timeout: 1000}
+}
+
+// Guards against a request being routed by a shorter prefix, or by one that ends within a path element.
+func TestMatchTakesLongestPrefix(t *testing.T) {
+	c := qt.New(t)
+	part := rules.Part{Service: "a", Weight: 1}
+	s, err := rules.New(1, []rules.Rule{
+		rule("one.example", "/", part), rule("one.example", "/x/", part), rule("one.example", "/x/y/", part),
+		rule("two.example", "/z/", part),
+	}, []rules.Service{{Name: "a"}}, rules.Limits{})
+	c.Assert(err, qt.IsNil)
+
+	for _, tt := range []struct {
+		host, path, want string
+		found            bool
+	}{
+		{"one.example", "/x/y/z", "/x/y/", true},
+		{"ONE.example:80", "/x/y", "/x/", true},
+		{"one.example", "/xy", "/", true},
+		{"two.example", "/z/", "/z/", true},
+		{"two.example", "/zz/1", "", false},
+		{"three.example", "/x/", "", false},
+	} {
+		r, ok := s.Match(tt.host, tt.path)
+		c.Check(ok, qt.Equals, tt.found, qt.Commentf("%s%s", tt.host, tt.path))
+		c.Check(r.Prefix, qt.Equals, tt.want)
+	}
+}
+
+// Guards against a version with a fault taking force in part.
+func TestNewRefusesFaults(t *testing.T) {
+	c := qt.New(t)
+	part := rules.Part{Service: "a", Weight: 1}
+
+	for _, r := range []rules.Rule{
+		{Name: "no host", Prefix: "/", Kind: rules.Safe, Parts: []rules.Part{part}, Timeout: 1},
+		{Name: "bare", Host: "h", Prefix: "x", Kind: rules.Safe, Parts: []rules.Part{part}, Timeout: 1},
+		{Name: "kind", Host: "h", Prefix: "/", Kind: "odd", Parts: []rules.Part{part}, Timeout: 1},
+		{Name: "timeout", Host: "h", Prefix: "/", Kind: rules.Safe, Parts: []rules.Part{part}},
+		{Name: "service", Host: "h", Prefix: "/", Kind: rules.Safe, Parts: []rules.Part{{Service: "b"}}, Timeout: 1},
+		{Name: "none", Host: "h", Prefix: "/", Kind: rules.Safe, Timeout: 1},
+	} {
+		_, err := rules.New(1, []rules.Rule{r}, []rules.Service{{Name: "a"}}, rules.Limits{})
+		c.Check(err, qt.ErrorMatches, `version 1, rule "`+r.Name+`": .*`)
+	}
+}
+
+// Guards against parts that get another share of the requests than their weight.
+func TestPartFollowsWeights(t *testing.T) {
+	c := qt.New(t)
+	r := rule("h", "/", rules.Part{Service: "a", Weight: 90}, rules.Part{Service: "b", Weight: 10})
+	counts := map[string]int{}
+
+	for h := range uint64(1000) {
+		counts[r.Part(h)]++
+	}
+
+	c.Assert(counts, qt.DeepEquals, map[string]int{"a": 900, "b": 100})
+}
