Ask the store's feeds again as soon as a change is known to be missing

Ruled out: a store that answers late; the log shows the question given up only at its own time limit of 21.5 s.

--- a/config/relay.go
+++ b/config/relay.go
@@ -77,7 +77,7 @@
 			func(s *Relay, v spar.Millis) { s.HoldMax = v }),
 		integer("requests", "cold_percent", 100, 10, 100, "part of the rate that a cold backend server bears which is used",
 			func(s *Relay, n int) { s.ColdShare = float64(n) / 100 }),
-		integer("requests", "whole_bytes", 128<<10, 0, 8<<20, "size up to which an answer is read whole before it is passed on",
+		integer("requests", "whole_bytes", 128<<10, 0, 8<<20, "size up to which an answer is read whole first",
 			func(s *Relay, n int) { s.WholeBytes = n }),
 		integer("requests", "body_bytes", 8<<20, 1, 256<<20, "longest body of a request, if the rules allow no less",
 			func(s *Relay, n int) { s.BodyBytes = n }),
--- a/conns/pool.go
+++ b/conns/pool.go
@@ -69,8 +69,8 @@
 	Mine func(http.Header) bool
 }
 
-// Failure says how a request failed.
-type Failure struct {
+// SendError says how a request failed.
+type SendError struct {
 	// Sent says that bytes of the request may have reached the server.
 	Sent bool
 	// Reused says that the connection had carried an earlier request.
@@ -79,12 +79,12 @@
 }
 
 // Error describes the failure.
-func (f *Failure) Error() string {
+func (f *SendError) Error() string {
 	return fmt.Sprintf("sent=%t reused=%t: %v", f.Sent, f.Reused, f.Err)
 }
 
 // Unwrap returns the cause.
-func (f *Failure) Unwrap() error {
+func (f *SendError) Unwrap() error {
 	return f.Err
 }
 
@@ -98,14 +98,14 @@
 
 // Send sends a request and returns the answer once its header is in. The caller must close the body.
 // Ending ctx closes the connection.
-func (p *Pool) Send(ctx context.Context, addr string, req Request) (*http.Response, *Failure) {
+func (p *Pool) Send(ctx context.Context, addr string, req Request) (*http.Response, *SendError) {
 	c, err := p.take(ctx, addr)
 	if err != nil {
-		return nil, &Failure{Err: err}
+		return nil, &SendError{Err: err}
 	}
 
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
-	fail := func(sent bool, err error) (*http.Response, *Failure) {
+	fail := func(sent bool, err error) (*http.Response, *SendError) {
 		stop()
 		_ = c.Close()
 
@@ -113,7 +113,7 @@
 			err = ctx.Err()
 		}
 
-		return nil, &Failure{Sent: sent, Reused: c.used, Err: err}
+		return nil, &SendError{Sent: sent, Reused: c.used, Err: err}
 	}
 
 	if ctx.Err() != nil {
--- a/entry/choose.go
+++ b/entry/choose.go
@@ -41,10 +41,9 @@
 }
 
 type track struct {
-	open   int
-	fails  float64
-	shun   spar.Millis
-	missed int
+	open  int
+	fails float64
+	shun  spar.Millis
 }
 
 // NewTracker returns a tracker that knows nothing.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -48,6 +48,8 @@
 	Evacuated func(zone string) bool
 	// Closing reports whether callers should open new connections elsewhere.
 	Closing func() bool
+	// Closed reports whether new requests are refused, since the process is about to end.
+	Closed func() bool
 }
 
 // Entry serves callers.
@@ -75,8 +77,8 @@
 	arrived := e.deps.Clock.Now()
 
 	set := e.deps.Rules()
-	if set == nil {
-		e.refuse(w, r, gate.Refused(spar.ReasonNoService, retryLeast))
+	if set == nil || e.deps.Closed() {
+		e.refuse(w, r, gate.Refused(spar.ReasonLeaving, retryLeast))
 
 		return
 	}
--- a/entry/hop.go
+++ b/entry/hop.go
@@ -130,7 +130,7 @@
 	return decodeResult(resp)
 }
 
-func hopFailed(ctx context.Context, f *conns.Failure) gate.Result {
+func hopFailed(ctx context.Context, f *conns.SendError) gate.Result {
 	switch {
 	case !f.Sent:
 		r := gate.Refused(spar.ReasonUnreachable, 0)
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -31,8 +31,9 @@
 	Log   *log.Logger
 	// Rules returns the rules in force, or nil.
 	Rules func() *rules.Set
-	// Evacuated reports whether the VM's availability zone is taken out.
-	Evacuated func() bool
+	// Closed reports whether no new request may run: the VM's availability zone is taken out, or the
+	// process is about to end.
+	Closed func() bool
 }
 
 // Gate passes requests to the backend server beside this node. All requests to it pass here, so its
@@ -157,7 +158,7 @@
 		return Refused(spar.ReasonLeaving, retryLeast), false
 	case req.Service != u.Service || req.Life != "" && req.Life != u.Life.ID:
 		return Refused(spar.ReasonNotOwner, retryLeast), false
-	case g.deps.Evacuated():
+	case g.deps.Closed():
 		return Refused(spar.ReasonLeaving, retryLeast), false
 	case req.Key != NoKey && !u.HoldsKey(req.Key, now):
 		return Refused(spar.ReasonNotOwner, retryLeast), false
--- a/gate/keyload.go
+++ b/gate/keyload.go
@@ -19,7 +19,6 @@
 	mu    sync.Mutex
 	start spar.Millis
 	count []float32
-	total float64
 }
 
 // NewKeyLoad returns counts of 0.
--- a/gate/run.go
+++ b/gate/run.go
@@ -78,7 +78,7 @@
 		return r
 	} else if !errors.Is(err, io.EOF) {
 		_ = b.Close()
-		g.doubt(req.Service)
+		g.doubt(context.WithoutCancel(ctx), req.Service)
 
 		return Doubtful(spar.ReasonBroken, "answer cut: "+cause(ctx, err))
 	}
@@ -109,7 +109,7 @@
 }
 
 // failed classifies a request without an answer.
-func (g *Gate) failed(ctx context.Context, req Request, life spar.Life, f *conns.Failure) Result {
+func (g *Gate) failed(ctx context.Context, req Request, life spar.Life, f *conns.SendError) Result {
 	ended := ctx.Err() != nil
 
 	if !ended && !f.Sent {
@@ -132,7 +132,7 @@
 	case ended:
 		return Doubtful(spar.ReasonDeadline, f.Error())
 	default:
-		g.doubt(req.Service)
+		g.doubt(context.WithoutCancel(ctx), req.Service)
 
 		return Doubtful(spar.ReasonBroken, f.Error())
 	}
@@ -206,7 +206,7 @@
 
 // doubt treats the backend server as cold until it reports or answers a health check: a broken
 // connection may mean that it has started anew.
-func (g *Gate) doubt(service string) {
+func (g *Gate) doubt(ctx context.Context, service string) {
 	g.mu.Lock()
 	busy := g.probing
 	g.probing = true
@@ -222,11 +222,11 @@
 		return u
 	})
 
-	go g.runProbe(service)
+	go g.runProbe(ctx, service)
 }
 
 // runProbe asks the backend server itself what it is.
-func (g *Gate) runProbe(service string) {
+func (g *Gate) runProbe(ctx context.Context, service string) {
 	defer func() {
 		g.mu.Lock()
 		g.probing = false
@@ -243,7 +243,7 @@
 		return
 	}
 
-	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout.Duration())
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout.Duration())
 	defer cancel()
 
 	resp, failure := g.deps.Pool.Send(ctx, g.cfg.Addr, conns.Request{
--- a/keymap/map_test.go
+++ b/keymap/map_test.go
@@ -16,12 +16,12 @@
 		var m keymap.Map
 
 		owners := make([]string, keymap.Keys)
-		nodes := []string{"a", "b", "c"}
+		nodes := []string{"a", "b", "c", ""}
 
 		for range rapid.IntRange(1, 12).Draw(t, "steps") {
 			from := rapid.IntRange(0, keymap.Keys-1).Draw(t, "from")
 			span := keymap.Span{From: from, To: rapid.IntRange(from, keymap.Keys-1).Draw(t, "to")}
-			node := rapid.SampledFrom(append(nodes, "")).Draw(t, "node")
+			node := rapid.SampledFrom(nodes).Draw(t, "node")
 			last := m.Last
 
 			if node == "" {
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -34,6 +34,8 @@
 	Log    *log.Logger
 	// Self returns the state of this node.
 	Self func() State
+	// Heard takes each state of a peer.
+	Heard func(State)
 }
 
 // Mesh keeps the states of the other nodes.
@@ -98,6 +100,7 @@
 	m.mu.Unlock()
 
 	m.start(s.Node)
+	m.deps.Heard(s)
 }
 
 // start asks for a task that exchanges states with a peer.
--- a/mesh/state.go
+++ b/mesh/state.go
@@ -24,6 +24,9 @@
 	Ready  bool        `json:"ready,omitempty"`
 	ColdMS spar.Millis `json:"cold_ms,omitempty"`
 	Load   gate.Load   `json:"load"`
+	// Rules is the version of the rules in force, and MapRevision that of the service's map of owners.
+	Rules       uint64        `json:"rules,omitempty"`
+	MapRevision spar.Revision `json:"map_revision,omitempty"`
 	// Use is the part of the slots that requests by key ask for.
 	Use float64 `json:"use,omitempty"`
 }
--- a/owner/lease.go
+++ b/owner/lease.go
@@ -123,6 +123,8 @@
 		Writes:     []spar.Write{{Key: key, Value: o.leaseValue()}},
 	})
 
+	o.noteStore(result.Verdict == spar.Unknown)
+
 	switch result.Verdict {
 	case spar.Applied:
 		o.extend(held.revision, lease{revision: result.Revision, until: sent + o.cfg.LeaseFor})
@@ -137,6 +139,19 @@
 	return false
 }
 
+// noteStore tells when the table answers again after it did not.
+func (o *Owner) noteStore(down bool) {
+	o.mu.Lock()
+	back := o.storeDown && !down
+	o.storeDown = down
+	o.mu.Unlock()
+
+	if back {
+		o.deps.Log.Info("store answers renewals again")
+		o.deps.StoreBack()
+	}
+}
+
 func (o *Owner) extend(from spar.Revision, l lease) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/owner/maps.go
+++ b/owner/maps.go
@@ -28,6 +28,11 @@
 	return m.byName[service].Map.Find(key)
 }
 
+// Revision returns the revision of a service's map.
+func (m *Maps) Revision(service string) spar.Revision {
+	return m.get(service).Revision
+}
+
 // Changed is closed at the next change of any map.
 func (m *Maps) Changed() <-chan struct{} {
 	m.mu.Lock()
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -57,6 +57,8 @@
 	Keyed func(service string) (keyed, known bool)
 	// Evacuated reports whether an availability zone is taken out.
 	Evacuated func(zone string) bool
+	// StoreBack is called when the table answers again.
+	StoreBack func()
 }
 
 // Owner keeps the keys of one backend server.
@@ -81,6 +83,8 @@
 	lastMove spar.Millis
 	incoming spar.Millis
 	suspects map[string]suspect
+	// storeDown says that the last renewal had no answer.
+	storeDown bool
 }
 
 // move is a span that the backend server is to release.
--- a/owner/values.go
+++ b/owner/values.go
@@ -61,7 +61,8 @@
 // Table is the table of the nodes and the maps of owners, which all nodes follow.
 const Table = "fleet"
 
-// leaseTable is the table of the leases, which nobody follows. The part after the first slash is the service, so that what changes together lies together.
+// leaseTable is the table of the leases, which nobody follows. After the first slash of a key comes the
+// service, so that what changes together lies together.
 const leaseTable = "lease"
 
 func mapKey(service string) string         { return Table + "/" + service + "/map" }
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -4,6 +4,7 @@
 	"context"
 
 	spar "sardinespar.example/spar"
+	"sardinespar.example/spar/mesh"
 	"sardinespar.example/spar/owner"
 )
 
@@ -11,6 +12,7 @@
 func (r *Relay) loopFleet(ctx context.Context) {
 	f := follower{
 		name: owner.Table, table: r.deps.Table, clock: r.deps.Clock, log: r.deps.Log, all: r.fleetRows, some: r.fleetRows,
+		again: r.fleetAgain,
 	}
 	f.loop(ctx)
 }
@@ -22,3 +24,28 @@
 		}
 	}
 }
+
+// askAgain sends to a follower's channel, unless that is still pending.
+func askAgain(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// heard compares a peer's state with this node's: a peer that knows more shows that a feed is stuck.
+func (r *Relay) heard(s mesh.State) {
+	if s.Rules > r.operator.version() {
+		askAgain(r.operator.again)
+	}
+
+	if s.MapRevision > r.maps.Revision(s.Service) {
+		askAgain(r.fleetAgain)
+	}
+}
+
+// storeBack makes both feeds ask again after the store was away.
+func (r *Relay) storeBack() {
+	askAgain(r.operator.again)
+	askAgain(r.fleetAgain)
+}
--- a/relay/operator.go
+++ b/relay/operator.go
@@ -16,6 +16,8 @@
 const (
 	// feedWait is how long the store holds a question for changes open.
 	feedWait spar.Millis = 20_000
+	// feedProbe is that time after a failure, so that a store that is silent is asked again soon.
+	feedProbe spar.Millis = 50
 	// feedPause is the pause after a failed question, and rowsTimeout bounds a read of a whole table.
 	feedPause   spar.Millis = 200
 	rowsTimeout spar.Millis = 1500
@@ -28,14 +30,18 @@
 	clock   spar.Clock
 	log     *log.Logger
 
-	set atomic.Pointer[rules.Set]
+	set   atomic.Pointer[rules.Set]
+	again chan struct{}
 
 	mu  sync.Mutex
 	out map[string]bool
 }
 
 func newOperator(deps Deps) *operator {
-	return &operator{table: deps.Table, adapter: deps.Adapter, clock: deps.Clock, log: deps.Log, out: map[string]bool{}}
+	return &operator{
+		table: deps.Table, adapter: deps.Adapter, clock: deps.Clock, log: deps.Log,
+		out: map[string]bool{}, again: make(chan struct{}, 1),
+	}
 }
 
 // Rules returns the rules in force, or nil.
@@ -55,6 +61,15 @@
 	return s.Keyed, ok
 }
 
+// version returns the version of the rules in force, or 0.
+func (o *operator) version() uint64 {
+	if set := o.Rules(); set != nil {
+		return set.Version
+	}
+
+	return 0
+}
+
 // Evacuated reports whether a zone is taken out.
 func (o *operator) Evacuated(zone string) bool {
 	o.mu.Lock()
@@ -67,7 +82,7 @@
 func (o *operator) loop(ctx context.Context) {
 	f := follower{
 		name: o.adapter.OperatorTable(), table: o.table, clock: o.clock, log: o.log,
-		all: o.replace, some: o.apply,
+		all: o.replace, some: o.apply, again: o.again,
 	}
 	f.loop(ctx)
 }
@@ -138,6 +153,8 @@
 	log   *log.Logger
 	all   func([]spar.Row)
 	some  func([]spar.Row)
+	// again is sent to when a change is known to be missing.
+	again <-chan struct{}
 }
 
 func (f follower) loop(ctx context.Context) {
@@ -145,10 +162,14 @@
 		since spar.Revision
 		known bool
 		down  bool
+		wait  = feedWait
 	)
 
 	for ctx.Err() == nil {
-		next, err := f.step(ctx, since, known)
+		next, err := f.interruptible(ctx, func(ctx context.Context) (spar.Revision, error) {
+			return f.step(ctx, since, known, wait)
+		})
+		wait = feedWait
 
 		switch {
 		case err == nil:
@@ -161,20 +182,55 @@
 			f.log.Warn("history lost; the table is read anew", "table", f.name, "since", since)
 
 			known = false
+		case errors.Is(err, errAgain):
+			wait = feedProbe
 		default:
 			if !down && ctx.Err() == nil {
 				f.log.Warn("store does not answer", "table", f.name, "cause", err)
 			}
 
-			down = true
+			// A store that was silent may never answer a question from before its return, so the next one
+			// is short.
+			down, wait = true, feedProbe
 			f.clock.Sleep(ctx, feedPause)
 		}
 	}
 }
 
-func (f follower) step(ctx context.Context, since spar.Revision, known bool) (spar.Revision, error) {
+// errAgain says that a question was given up because a change is known to be missing.
+var errAgain = errors.New("a change is missing")
+
+// interruptible runs a step until again is sent to.
+func (f follower) interruptible(
+	ctx context.Context, step func(context.Context) (spar.Revision, error),
+) (spar.Revision, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+
+	done := make(chan struct{})
+	defer close(done)
+
+	go f.runInterrupt(done, cancel)
+
+	next, err := step(ctx)
+	if err != nil && errors.Is(context.Cause(ctx), errAgain) {
+		err = errAgain
+	}
+
+	return next, err
+}
+
+func (f follower) runInterrupt(done <-chan struct{}, cancel context.CancelCauseFunc) {
+	select {
+	case <-done:
+	case <-f.again:
+		cancel(errAgain)
+	}
+}
+
+func (f follower) step(ctx context.Context, since spar.Revision, known bool, wait spar.Millis) (spar.Revision, error) {
 	if known {
-		rows, next, err := f.table.Changes(ctx, f.name, since, feedWait)
+		rows, next, err := f.table.Changes(ctx, f.name, since, wait)
 		if err == nil && len(rows) > 0 {
 			f.some(rows)
 		}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -92,13 +92,17 @@
 	started int64
 	seq     atomic.Int64
 	leaving atomic.Bool
-	active  atomic.Int64
+	// closed says that new requests are refused, since they might not end before the process does.
+	closed     atomic.Bool
+	active     atomic.Int64
+	fleetAgain chan struct{}
 }
 
 // New returns a relay that is not running yet.
 func New(cfg config.Relay, deps Deps) *Relay {
 	r := &Relay{
 		cfg: cfg, deps: deps, maps: owner.NewMaps(), mux: peers.NewMux(), traffic: &peers.Traffic{}, started: deps.Wall(),
+		fleetAgain: make(chan struct{}, 1),
 	}
 	r.operator = newOperator(deps)
 
@@ -110,22 +114,22 @@
 		Addr: cfg.App, Service: cfg.Service, Names: names, ColdShare: cfg.ColdShare, WholeBytes: int64(cfg.WholeBytes),
 	}, gate.Deps{
 		Clock: deps.Clock, Pool: pool, Log: deps.Log, Rules: r.operator.Rules,
-		Evacuated: func() bool { return r.operator.Evacuated(cfg.Zone) },
+		Closed: func() bool { return r.closed.Load() || r.operator.Evacuated(cfg.Zone) },
 	})
-	r.mesh = mesh.New(cfg.Node, mesh.Deps{Clock: deps.Clock, Caller: caller, Log: deps.Log, Self: r.state})
+	r.mesh = mesh.New(cfg.Node, mesh.Deps{Clock: deps.Clock, Caller: caller, Log: deps.Log, Self: r.state, Heard: r.heard})
 	r.owner = owner.New(owner.Settings{
 		Node: cfg.Node, Incarnation: deps.Incarnation, Zone: cfg.Zone, Service: cfg.Service, PeerAddr: cfg.Peer,
 		AppAddr: cfg.App, LeaseFor: cfg.Lease, RenewEvery: cfg.Renew, HoldFor: min(cfg.Hold, cfg.HoldMax),
 		StoreTimeout: cfg.StoreTimeout,
 	}, owner.Deps{
 		Clock: deps.Clock, Table: deps.Table, Maps: r.maps, Gate: r.gate, Mesh: r.mesh, Peers: caller, Log: deps.Log,
-		Keyed: r.operator.Keyed, Evacuated: r.operator.Evacuated,
+		Keyed: r.operator.Keyed, Evacuated: r.operator.Evacuated, StoreBack: r.storeBack,
 	})
 	r.entry = entry.New(entry.Settings{
 		Node: cfg.Node, Zone: cfg.Zone, Service: cfg.Service, Names: names, BodyBytes: int64(cfg.BodyBytes),
 	}, entry.Deps{
 		Clock: deps.Clock, Rules: r.operator.Rules, Mesh: r.mesh, Maps: r.maps, Gate: r.gate, Pool: pool, Log: deps.Log,
-		Evacuated: r.operator.Evacuated, Closing: r.leaving.Load,
+		Evacuated: r.operator.Evacuated, Closing: r.leaving.Load, Closed: r.closed.Load,
 	})
 	r.inbound = entry.NewInbound(r.gate, deps.Clock, deps.Log, int64(cfg.BodyBytes))
 	r.mesh.Register(r.mux)
@@ -143,7 +147,7 @@
 		Node: r.cfg.Node, Incarnation: r.deps.Incarnation, Started: r.started, Seq: r.seq.Add(1),
 		Zone: r.cfg.Zone, Service: r.cfg.Service, PeerAddr: r.cfg.Peer, Inbound: r.cfg.Inbound,
 		Leaving: r.leaving.Load(), Life: u.Life, Ready: u.Ready && !u.Down, ColdMS: max(0, cold),
-		Load: r.gate.Load(), Use: r.owner.Use(),
+		Load: r.gate.Load(), Use: r.owner.Use(), Rules: r.operator.version(), MapRevision: r.maps.Revision(r.cfg.Service),
 	}
 }
 
@@ -217,7 +221,7 @@
 }
 
 const (
-	// noticeFor is how long after SIGTERM the platform may still send callers here.
+	// noticeFor is how long after SIGTERM callers may still be sent here and requests are taken.
 	noticeFor spar.Millis = 2600
 	leaveLook spar.Millis = 50
 )
@@ -231,6 +235,10 @@
 
 	for {
 		past := r.deps.Clock.Now() - start
+		if past >= noticeFor {
+			r.closed.Store(true)
+		}
+
 		if past >= r.cfg.Grace || past >= noticeFor && r.active.Load() == 0 {
 			break
 		}
