--- /dev/null
+++ b/conns/pool_test.go
@@ -0,0 +1,285 @@
+package conns_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	spar "sardinespar.example/spar"
+	"sardinespar.example/spar/conns"
+)
+
+// script answers the requests of each connection by the connection's number.
+type script func(n int, c net.Conn, r *bufio.Reader)
+
+// serve runs a script on a listener and returns its address.
+func serve(t *testing.T, s script) string {
+	t.Helper()
+
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = ln.Close() })
+
+	go func() {
+		for n := 0; ; n++ {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+
+			go func() {
+				defer c.Close()
+
+				s(n, c, bufio.NewReader(c))
+			}()
+		}
+	}()
+
+	return ln.Addr().String()
+}
+
+func newPool() *conns.Pool {
+	dial := func(ctx context.Context, addr string) (net.Conn, error) {
+		return (&net.Dialer{}).DialContext(ctx, "tcp", addr)
+	}
+
+	return conns.New(dial, spar.RuntimeClock(), conns.Options{MaxIdle: 4, IdleFor: 5000})
+}
+
+func get(id string) conns.Request {
+	return conns.Request{
+		Method: http.MethodGet, URI: "/a", Host: "h", Header: http.Header{"Id": {id}},
+		Mine: func(h http.Header) bool { return h.Get("Id") == id },
+	}
+}
+
+func answer(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+func send(t *testing.T, p *conns.Pool, addr string, req conns.Request) (string, error) {
+	t.Helper()
+
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+
+	resp, failure := p.Send(ctx, addr, req)
+	if failure != nil {
+		return "", failure
+	}
+	defer resp.Body.Close()
+
+	body, err := io.ReadAll(resp.Body)
+
+	return string(body), err
+}
+
+// Guards against a GET that is sent a second time by itself when a kept connection breaks after the
+// request was written: the first may have run.
+func TestNoSilentRepeat(t *testing.T) {
+	var requests atomic.Int32
+
+	addr := serve(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		for {
+			if _, err := http.ReadRequest(r); err != nil {
+				return
+			}
+
+			if requests.Add(1) == 2 {
+				return
+			}
+
+			_, _ = io.WriteString(c, answer("1", "one"))
+		}
+	})
+	p := newPool()
+
+	_, err := send(t, p, addr, get("1"))
+	qt.Assert(t, err, qt.IsNil)
+
+	_, err = send(t, p, addr, get("1"))
+
+	var failure *conns.SendError
+
+	qt.Assert(t, errors.As(err, &failure), qt.IsTrue)
+	qt.Check(t, failure.Sent, qt.IsTrue)
+	qt.Check(t, failure.Reused, qt.IsTrue)
+	qt.Check(t, requests.Load(), qt.Equals, int32(2))
+}
+
+// Guards against the answer left over from an earlier exchange reaching the next request, whether it
+// comes before that request is sent or after.
+func TestExtraAnswerIsNotTheNext(t *testing.T) {
+	for _, late := range []bool{false, true} {
+		addr := serve(t, func(_ int, c net.Conn, r *bufio.Reader) {
+			for {
+				req, err := http.ReadRequest(r)
+				if err != nil {
+					return
+				}
+
+				id := req.Header.Get("Id")
+				if late && id == "2" {
+					_, _ = io.WriteString(c, answer("1", "extra"))
+				}
+
+				_, _ = io.WriteString(c, answer(id, "body "+id))
+
+				if !late && id == "1" {
+					time.Sleep(20 * time.Millisecond)
+
+					_, _ = io.WriteString(c, answer("1", "extra"))
+				}
+			}
+		})
+		p := newPool()
+
+		body, err := send(t, p, addr, get("1"))
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, body, qt.Equals, "body 1")
+
+		time.Sleep(60 * time.Millisecond)
+
+		body, err = send(t, p, addr, get("2"))
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, body, qt.Equals, "body 2", qt.Commentf("late=%t", late))
+	}
+}
+
+// Guards against a cut answer that looks whole, by length, by chunks, or by a reset without either.
+func TestCutAnswers(t *testing.T) {
+	for name, tt := range map[string]struct {
+		text  string
+		reset bool
+		whole bool
+	}{
+		"length":             {text: "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 9\r\n\r\nhalf"},
+		"chunks":             {text: "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n"},
+		"reset":              {text: "HTTP/1.1 200 OK\r\nId: 1\r\n\r\nhalf", reset: true},
+		"end of connection":  {text: "HTTP/1.1 200 OK\r\nId: 1\r\n\r\nwhole", whole: true},
+		"no answer":          {text: "garbage\r\n\r\n"},
+		"only other answers": {text: strings.Repeat(answer("9", ""), 8)},
+	} {
+		addr := serve(t, func(_ int, c net.Conn, r *bufio.Reader) {
+			if _, err := http.ReadRequest(r); err != nil {
+				return
+			}
+
+			_, _ = io.WriteString(c, tt.text)
+
+			if tt.reset {
+				time.Sleep(20 * time.Millisecond)
+
+				_ = c.(*net.TCPConn).SetLinger(0)
+			}
+		})
+
+		_, err := send(t, newPool(), addr, get("1"))
+		qt.Check(t, err == nil, qt.Equals, tt.whole, qt.Commentf("%s: %v", name, err))
+	}
+}
+
+// Guards against an early answer to a long request being lost, and against the rest of the body
+// reaching the server as another request.
+func TestEarlyAnswer(t *testing.T) {
+	var second atomic.Int32
+
+	addr := serve(t, func(n int, c net.Conn, r *bufio.Reader) {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+
+		if n > 0 {
+			second.Add(1)
+		}
+
+		_, _ = io.WriteString(c, answer(req.Header.Get("Id"), "early"))
+
+		time.Sleep(50 * time.Millisecond)
+	})
+	p := newPool()
+	long := get("1")
+	long.Method, long.Body = http.MethodPost, make([]byte, 8<<20)
+
+	body, err := send(t, p, addr, long)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, body, qt.Equals, "early")
+
+	_, err = send(t, p, addr, get("2"))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, second.Load(), qt.Equals, int32(1))
+}
+
+// Guards against a request that crosses the close of an idle connection: it is not used close to the
+// end of the time that the server named.
+func TestIdleTimeOfServer(t *testing.T) {
+	var opened atomic.Int32
+
+	addr := serve(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		opened.Add(1)
+
+		for {
+			if _, err := http.ReadRequest(r); err != nil {
+				return
+			}
+
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: 1\r\nKeep-Alive: timeout=1\r\nContent-Length: 0\r\n\r\n")
+		}
+	})
+	p := newPool()
+
+	for range 2 {
+		_, err := send(t, p, addr, get("1"))
+		qt.Assert(t, err, qt.IsNil)
+	}
+
+	qt.Assert(t, opened.Load(), qt.Equals, int32(2))
+}
+
+// Guards against work that goes on at the server after the caller has left.
+func TestEndOfContextClosesConnection(t *testing.T) {
+	closed := make(chan struct{})
+	addr := serve(t, func(_ int, _ net.Conn, r *bufio.Reader) {
+		_, _ = http.ReadRequest(r)
+		_, _ = r.ReadByte()
+
+		close(closed)
+	})
+
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+
+	_, failure := newPool().Send(ctx, addr, get("1"))
+	qt.Assert(t, failure, qt.IsNotNil)
+	qt.Check(t, failure.Sent, qt.IsTrue)
+
+	select {
+	case <-closed:
+	case <-time.After(2 * time.Second):
+		t.Error("connection stays open")
+	}
+}
+
+// Guards against a refused connection that counts as a request that may have run.
+func TestRefusedConnectionIsNotSent(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+
+	addr := ln.Addr().String()
+	_ = ln.Close()
+
+	_, failure := newPool().Send(t.Context(), addr, get("1"))
+	qt.Assert(t, failure, qt.IsNotNil)
+	qt.Check(t, failure.Sent, qt.IsFalse)
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -102,6 +102,7 @@
 	defer cancel()
 
 	result := e.route(ctx, req, rule)
+	result.Service = req.Service
 
 	if result.Outcome == spar.OutcomeCompleted {
 		e.deliver(w, result)
@@ -235,8 +236,8 @@
 		status = http.StatusGatewayTimeout
 	}
 
-	e.deps.Log.Warn("request failed", "id", r.Header.Get(e.cfg.Names.RequestID), "status", status,
-		"outcome", result.Outcome, "reason", result.Reason, "detail", result.Detail,
+	e.deps.Log.Warn("request failed", "id", r.Header.Get(e.cfg.Names.RequestID), "path", r.URL.Path,
+		"service", result.Service, "node", result.Node, "status", status, "outcome", result.Outcome, "reason", result.Reason, "detail", result.Detail,
 		"retry_after_ms", int(result.RetryAfter))
 	e.end(w, status, string(result.Reason))
 }
--- a/entry/route.go
+++ b/entry/route.go
@@ -103,6 +103,7 @@
 func (e *Entry) attempt(ctx context.Context, c Candidate, req gate.Request) gate.Result {
 	e.tracker.Begin(c.Node)
 	r := e.send(ctx, c, req)
+	r.Node = c.Node
 	failed := r.Arrived || r.Outcome == spar.OutcomeCompleted && r.Status >= http.StatusInternalServerError
 	e.tracker.End(c.Node, failed && ctx.Err() == nil)
 
--- /dev/null
+++ b/gate/decide_test.go
@@ -0,0 +1,187 @@
+package gate_test
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	spar "sardinespar.example/spar"
+	"sardinespar.example/spar/gate"
+	"sardinespar.example/spar/internal/prop"
+	"sardinespar.example/spar/keymap"
+)
+
+// TestMain fixes rapid's seed and checks.
+func TestMain(m *testing.M) {
+	prop.Main(m, 1, 200, 0)
+}
+
+// manual is a clock that a test moves.
+type manual struct{ now spar.Millis }
+
+func (m *manual) clock() spar.Clock {
+	return spar.NewClock(func() spar.Millis { return m.now }, nil)
+}
+
+// Guards against a cold backend server that gets more in some second than it bears, however requests
+// come, also across the moment at which it turns cold.
+func TestRateBoundsEveryWindow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var (
+			rate gate.Rate
+			sent []spar.Millis
+			now  spar.Millis
+		)
+
+		most := rapid.IntRange(1, 12).Draw(t, "most")
+		before := rapid.IntRange(0, most).Draw(t, "before")
+
+		for range before {
+			now += spar.Millis(rapid.IntRange(0, 50).Draw(t, "gap"))
+			rate.Note(now)
+			sent = append(sent, now)
+		}
+
+		for range 60 {
+			now += spar.Millis(rapid.IntRange(0, 120).Draw(t, "gap"))
+
+			wait, ok := rate.Take(now, most)
+			if ok {
+				sent = append(sent, now)
+			} else if wait <= 0 {
+				t.Fatalf("refused at %v with a wait of %v", now, wait)
+			}
+		}
+
+		for i := range sent {
+			if j := i + most; j < len(sent) && sent[j]-sent[i] < 1000 {
+				t.Fatalf("%d requests between %v and %v", most+1, sent[i], sent[j])
+			}
+		}
+	})
+}
+
+func turn(e *gate.Entrant) bool {
+	select {
+	case <-e.Turn():
+		return true
+	default:
+		return false
+	}
+}
+
+// Guards against more requests at a backend server than it has slots: beyond them some never answer.
+func TestQueueNeverExceedsSlots(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &manual{}
+		q := gate.NewQueue(m.clock())
+		slots := rapid.IntRange(1, 9).Draw(t, "slots")
+		q.Resize(slots)
+
+		var in []*gate.Entrant
+
+		for range 80 {
+			if len(in) > 0 && rapid.Bool().Draw(t, "leave") {
+				i := rapid.IntRange(0, len(in)-1).Draw(t, "who")
+				q.Leave(in[i])
+				in = append(in[:i], in[i+1:]...)
+			} else {
+				e := &gate.Entrant{Priority: rapid.IntRange(0, 2).Draw(t, "rank"), Objective: 9000, Deadline: 9000}
+				if ok, _ := q.Enter(e); ok {
+					in = append(in, e)
+				}
+			}
+
+			running := 0
+			for _, e := range in {
+				if turn(e) {
+					running++
+				}
+			}
+
+			if l := q.Load(); running > slots || l.Running != running || l.Running+l.Waiting != len(in) {
+				t.Fatalf("%d run of %d slots, %d in; the queue says %+v", running, slots, len(in), l)
+			}
+
+			if l := q.Load(); l.Waiting > 0 && l.Running < slots {
+				t.Fatalf("a slot is free while %d wait", l.Waiting)
+			}
+		}
+	})
+}
+
+// Guards against a call that a running request needs waiting behind new requests of a lower rank.
+func TestQueuePrefersRank(t *testing.T) {
+	c := qt.New(t)
+	m := &manual{}
+	q := gate.NewQueue(m.clock())
+
+	enter := func(rank int) *gate.Entrant {
+		e := &gate.Entrant{Priority: rank, Objective: 9000, Deadline: 9000}
+		ok, _ := q.Enter(e)
+		c.Assert(ok, qt.IsTrue)
+
+		return e
+	}
+
+	first, low, high, low2 := enter(2), enter(2), enter(0), enter(2)
+
+	for _, next := range []*gate.Entrant{high, low, low2} {
+		c.Check(turn(next), qt.IsFalse)
+		q.Leave(first)
+		c.Assert(turn(next), qt.IsTrue)
+
+		first = next
+	}
+}
+
+// Guards against a burst that makes all requests late: those that can't meet their objective are
+// refused on arrival, with the time after which there is room.
+func TestQueueRefusesWhatWouldBeLate(t *testing.T) {
+	c := qt.New(t)
+	m := &manual{}
+	q := gate.NewQueue(m.clock())
+	admitted := 0
+
+	for range 50 {
+		e := &gate.Entrant{Objective: 300, Deadline: 1000}
+
+		ok, after := q.Enter(e)
+		if ok {
+			admitted++
+		} else {
+			c.Assert(after > 0, qt.IsTrue)
+		}
+	}
+
+	// One slot and 50 ms a request: six fit into 300 ms.
+	c.Assert(admitted, qt.Equals, 6)
+}
+
+// Guards against measured rates that don't follow the requests, on which placement rests.
+func TestKeyLoadRates(t *testing.T) {
+	c := qt.New(t)
+	m := &manual{}
+	l := gate.NewKeyLoad(m.clock())
+
+	for range 30_000 {
+		m.now += 10
+		l.Note(100)
+
+		if int(m.now)%20 == 0 {
+			l.Note(200)
+		}
+	}
+
+	near := func(span keymap.Span, want float64) {
+		got := l.Rate(span)
+		c.Check(got > 0.95*want && got < 1.05*want, qt.IsTrue, qt.Commentf("%v: %v, want %v", span, got, want))
+	}
+	near(keymap.Span{From: 0, To: 150}, 100)
+	near(keymap.Span{From: 0, To: keymap.Keys - 1}, 150)
+
+	part, rate := l.Cut(keymap.Span{From: 0, To: keymap.Keys - 1}, 120)
+	c.Check(part, qt.Equals, keymap.Span{From: 0, To: 199})
+	c.Check(rate > 95 && rate < 105, qt.IsTrue)
+}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -176,7 +176,7 @@
 	default:
 	}
 
-	t := g.deps.Clock.Timer(min(req.Deadline, req.Objective) - g.deps.Clock.Now())
+	t := g.deps.Clock.Timer(e.latest() - g.deps.Clock.Now())
 	defer t.Stop()
 
 	select {
--- a/gate/queue.go
+++ b/gate/queue.go
@@ -107,7 +107,7 @@
 	wait := spar.Millis(q.service * float64(ahead) / float64(q.slots))
 	end := now + wait + spar.Millis(q.service)
 
-	if end > min(e.Objective, e.Deadline) {
+	if end > e.latest() {
 		return false, max(retryLeast, wait)
 	}
 
@@ -116,6 +116,16 @@
 	return true, 0
 }
 
+// latest is the latest end that is worth a wait. Requests of the highest rank are needed by work that
+// already runs, so a late answer is worth as much to them as one in time.
+func (e *Entrant) latest() spar.Millis {
+	if e.Priority == 0 {
+		return e.Deadline
+	}
+
+	return min(e.Objective, e.Deadline)
+}
+
 // Turn is closed when the entrant has a slot.
 func (e *Entrant) Turn() <-chan struct{} {
 	return e.turn
--- a/gate/request.go
+++ b/gate/request.go
@@ -45,6 +45,9 @@
 	RetryAfter spar.Millis
 	// Arrived says that the request reached a backend server, which then refused it or may have run it.
 	Arrived bool
+	// Service and Node are where the last attempt went, for the log.
+	Service string
+	Node    string
 	// Detail is for the log.
 	Detail string
 }
--- a/gate/upstream.go
+++ b/gate/upstream.go
@@ -34,7 +34,7 @@
 
 // Cold reports whether u bears few requests at now.
 func (u Upstream) Cold(now spar.Millis) bool {
-	return u.Unsure || now < u.ColdUntil+coldTail
+	return u.Unsure || u.ColdUntil > 0 && now < u.ColdUntil+coldTail
 }
 
 // HoldsKey reports whether u holds a key at now.
--- a/internal/flaw/flaw.go
+++ b/internal/flaw/flaw.go
@@ -16,4 +16,8 @@
 	NoWait bool
 	// FromReceipt counts a grant from when the answer arrived.
 	FromReceipt bool
+	// NoRelease lets a node give keys away that its backend server still holds.
+	NoRelease bool
+	// SameEpoch lets a new life of a backend server keep the epochs of the one before it.
+	SameEpoch bool
 }
--- a/owner/balance.go
+++ b/owner/balance.go
@@ -41,6 +41,7 @@
 	}
 
 	o.incoming = now
+	o.expecting = now + expectFor
 	o.deps.Log.Info("keys offered", "node", p.Node, "rate", int(p.Rate))
 
 	return true
--- a/owner/beat.go
+++ b/owner/beat.go
@@ -43,8 +43,12 @@
 		return Grant{}, nil
 	}
 
-	o.settle(b)
+	if o.settle(b) {
+		o.announce(ctx)
+	}
+
 	o.rebind(ctx, b.Life)
+	o.await(ctx, b.Life, received)
 
 	return o.grant(b, received), nil
 }
@@ -93,8 +97,9 @@
 	}
 }
 
-// settle marks the spans that the backend server no longer holds.
-func (o *Owner) settle(b Beat) {
+// settle marks the spans that the backend server no longer holds. It reports whether it began to give
+// up all keys.
+func (o *Owner) settle(b Beat) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 
@@ -108,21 +113,23 @@
 		}
 
 		held := slices.ContainsFunc(b.Holds, m.Overlaps)
-		m.free = m.omitted && !held
+		m.free = m.omitted && !held || o.deps.Flaws.NoRelease
 	}
 
-	if b.Draining {
-		o.releaseAllLocked()
-	}
+	return b.Draining && o.releaseAllLocked()
 }
 
-// releaseAllLocked gives up all keys of this node.
-func (o *Owner) releaseAllLocked() {
+// releaseAllLocked gives up all keys of this node, and reports whether any was not given up before.
+func (o *Owner) releaseAllLocked() bool {
+	n := len(o.moves)
+
 	for _, r := range o.deps.Maps.get(o.cfg.Service).Map.Of(o.cfg.Node) {
 		if !slices.ContainsFunc(o.moves, func(m move) bool { return m.Overlaps(r.Span) }) {
 			o.moves = append(o.moves, move{Span: r.Span})
 		}
 	}
+
+	return len(o.moves) > n
 }
 
 // rebind gives this node's keys to a new life of its backend server, under new epochs.
@@ -143,10 +150,25 @@
 			return m, false
 		}
 
-		return m.WithLife(o.cfg.Node, life), true
+		return o.withLife(m, life), true
 	}, o.leased)
 }
 
+func (o *Owner) withLife(m keymap.Map, life spar.Life) keymap.Map {
+	if !o.deps.Flaws.SameEpoch {
+		return m.WithLife(o.cfg.Node, life)
+	}
+
+	same := m.WithLife(o.cfg.Node, life)
+	for i, r := range same.Ranges {
+		if old, ok := m.Find(r.From); ok {
+			same.Ranges[i].Epoch = old.Epoch
+		}
+	}
+
+	return same
+}
+
 // grant returns what the backend server may hold, as long as the lease allows.
 func (o *Owner) grant(b Beat, received spar.Millis) Grant {
 	o.mu.Lock()
--- a/owner/change.go
+++ b/owner/change.go
@@ -71,5 +71,9 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 
+	if o.deps.Flaws.Unconditional {
+		return nil, nil
+	}
+
 	return []spar.Condition{{Key: leaseKey(o.cfg.Service, o.cfg.Node), Revision: o.lease.revision}}, nil
 }
--- a/owner/moves.go
+++ b/owner/moves.go
@@ -21,7 +21,9 @@
 // loopMoves writes the moves whose keys are free, and gives up the keys of a backend server that is gone.
 func (o *Owner) loopMoves(ctx context.Context) {
 	for o.deps.Clock.Sleep(ctx, moveRound) {
-		o.lapse()
+		if o.lapse() {
+			o.announce(ctx)
+		}
 
 		if free := o.free(); len(free) > 0 && o.Leased() {
 			o.write(ctx, free)
@@ -30,8 +32,8 @@
 }
 
 // lapse gives up all keys if the backend server can't hold any more: it is silent and its grants have
-// run out, or it leaves, or its availability zone is taken out.
-func (o *Owner) lapse() {
+// run out, or it leaves, or its availability zone is taken out. It reports whether it began to.
+func (o *Owner) lapse() (begun bool) {
 	evacuated := o.deps.Evacuated(o.cfg.Zone)
 
 	o.mu.Lock()
@@ -42,16 +44,18 @@
 	left := !o.gone.IsZero() && o.gone == o.life
 
 	if o.lease.revision == 0 || !over && !left && !evacuated {
-		return
+		return false
 	}
 
-	o.releaseAllLocked()
+	begun = o.releaseAllLocked()
 
 	if over {
 		for i := range o.moves {
 			o.moves[i].omitted, o.moves[i].free = true, true
 		}
 	}
+
+	return begun
 }
 
 // free returns the moves whose keys nobody holds.
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -8,6 +8,7 @@
 
 	spar "sardinespar.example/spar"
 	"sardinespar.example/spar/gate"
+	"sardinespar.example/spar/internal/flaw"
 	"sardinespar.example/spar/keymap"
 	"sardinespar.example/spar/mesh"
 	"sardinespar.example/spar/peers"
@@ -16,6 +17,8 @@
 const (
 	methodMap   = "owner.map"
 	methodOffer = "owner.offer"
+	// methodExpect announces keys to nodes that may get some.
+	methodExpect = "owner.expect"
 
 	// clockError bounds how much faster or slower two clocks run.
 	clockError = 0.02
@@ -59,6 +62,8 @@
 	Evacuated func(zone string) bool
 	// StoreBack is called when the table answers again.
 	StoreBack func()
+	// Flaws are set by tests only.
+	Flaws flaw.Set
 }
 
 // Owner keeps the keys of one backend server.
@@ -82,7 +87,9 @@
 	moves    []move
 	lastMove spar.Millis
 	incoming spar.Millis
-	suspects map[string]suspect
+	// expecting ends the time in which keys are announced to come here.
+	expecting spar.Millis
+	suspects  map[string]suspect
 	// storeDown says that the last renewal had no answer.
 	storeDown bool
 }
@@ -120,6 +127,11 @@
 	peers.Handle(mux, methodOffer, func(_ context.Context, p offer) (offerReply, error) {
 		return offerReply{Accepted: o.accept(p)}, nil
 	})
+	peers.Handle(mux, methodExpect, func(context.Context, struct{}) (struct{}, error) {
+		o.expect()
+
+		return struct{}{}, nil
+	})
 }
 
 // mapNotice tells a peer a map that was just written.
--- a/owner/plan.go
+++ b/owner/plan.go
@@ -208,7 +208,7 @@
 	s.read = now
 	o.suspects[key] = s
 
-	return now-s.since > o.cfg.LeaseFor*(1+2*clockError)
+	return o.deps.Flaws.NoWait || now-s.since > o.cfg.LeaseFor*(1+2*clockError)
 }
 
 // replace takes a lost node's lease and keys in one transaction, which fails if the node has renewed.
