--- a/entry/route.go
+++ b/entry/route.go
@@ -153,7 +153,8 @@
 	for {
 		changed := e.deps.Maps.Changed()
 
-		if c, ok := e.ownerOf(req); ok {
+		c, missing := e.ownerOf(req)
+		if missing == "" {
 			r := e.attempt(ctx, c, req)
 			if !e.again(ctx, req, rule, r, &sent) || r.Reason == spar.ReasonShed && !r.Arrived {
 				return settle(r, doubt)
@@ -161,6 +162,8 @@
 
 			doubt = doubt || r.Outcome == spar.OutcomeUnknown
 			last = r
+		} else {
+			last.Detail = missing
 		}
 
 		if e.deps.Clock.Now() >= until || !e.pause(ctx, changed) {
@@ -178,23 +181,27 @@
 	return r
 }
 
-// ownerOf returns the node that owns a request's key.
-func (e *Entry) ownerOf(req gate.Request) (Candidate, bool) {
+// ownerOf returns the node that owns a request's key, or what is missing to send the request there.
+func (e *Entry) ownerOf(req gate.Request) (c Candidate, missing string) {
 	owner, ok := e.deps.Maps.Find(req.Service, req.Key)
 	if !ok {
-		return Candidate{}, false
+		return Candidate{}, "key without an owner"
 	}
 
 	if owner.Node == e.cfg.Node {
-		return Candidate{Node: owner.Node, Life: owner.Life.ID, Local: true}, true
+		return Candidate{Node: owner.Node, Life: owner.Life.ID, Local: true}, ""
 	}
 
 	p, ok := e.deps.Mesh.Peer(owner.Node)
-	if !ok || p.Inbound == "" || e.tracker.Shunned(owner.Node, e.deps.Clock.Now()) {
-		return Candidate{}, false
+
+	switch {
+	case !ok || p.Inbound == "":
+		return Candidate{}, "owner " + owner.Node + " has not been heard"
+	case e.tracker.Shunned(owner.Node, e.deps.Clock.Now()):
+		return Candidate{}, "owner " + owner.Node + " could not be reached"
 	}
 
-	return Candidate{Node: p.Node, Addr: p.Inbound, Life: owner.Life.ID}, true
+	return Candidate{Node: p.Node, Addr: p.Inbound, Life: owner.Life.ID}, ""
 }
 
 // pause waits for a change of the maps, or a short while.
