Tell new maps of owners from node to node

Ruled out: fewer moves; they are what evens out the load.

Change: maps stand in a table that nobody follows. Who writes one tells all peers; a state names the revision of its service's map, and a node that knows an older one asks that peer; the leading node reads the row every 10 s, since a writer may end before it tells anybody. Nodes compare three random candidates, so that a fleet doesn't choose the same one.

--- a/entry/choose.go
+++ b/entry/choose.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"math/rand/v2"
 	"sync"
 
 	spar "sardinespar.example/spar"
@@ -15,6 +16,8 @@
 	farDownload spar.Millis = 80
 	// busyWeight is how much a fully used backend server counts as slower, since some are.
 	busyWeight = 0.6
+	// looks is the number of candidates that are compared.
+	looks = 3
 	// failWeight is how much a failing backend server counts as slower.
 	failWeight = 10
 	// failGain is the weight of a new outcome in the share of failures.
@@ -131,23 +134,31 @@
 	return cost
 }
 
-// Best returns the candidate with the lowest cost that is neither tried nor shunned.
+// Best returns the candidate with the lowest cost among some that are neither tried nor shunned. It
+// looks at a few random ones only: if all nodes took the best of all, those whose loads were told last
+// would get the requests of the whole fleet until they are told again.
 func (t *Tracker) Best(list []Candidate, kind rules.Kind, tried map[string]bool, now spar.Millis) (Candidate, bool) {
+	usable := make([]Candidate, 0, len(list))
+
+	for _, c := range list {
+		if !tried[c.Node] && !t.Shunned(c.Node, now) {
+			usable = append(usable, c)
+		}
+	}
+
 	var (
 		best  Candidate
 		least spar.Millis
-		found bool
 	)
 
-	for _, c := range list {
-		if tried[c.Node] || t.Shunned(c.Node, now) {
-			continue
-		}
+	for i := range min(looks, len(usable)) {
+		j := i + rand.IntN(len(usable)-i)
+		usable[i], usable[j] = usable[j], usable[i]
 
-		if cost := t.cost(c, kind); !found || cost < least {
-			best, least, found = c, cost, true
+		if cost := t.cost(usable[i], kind); i == 0 || cost < least {
+			best, least = usable[i], cost
 		}
 	}
 
-	return best, found
+	return best, len(usable) > 0
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -237,7 +237,8 @@
 	}
 
 	e.deps.Log.Warn("request failed", "id", r.Header.Get(e.cfg.Names.RequestID), "path", r.URL.Path,
-		"service", result.Service, "node", result.Node, "status", status, "outcome", result.Outcome, "reason", result.Reason, "detail", result.Detail,
+		"service", result.Service, "node", result.Node, "status", status,
+		"outcome", result.Outcome, "reason", result.Reason, "detail", result.Detail,
 		"retry_after_ms", int(result.RetryAfter))
 	e.end(w, status, string(result.Reason))
 }
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -124,7 +124,7 @@
 		return Refused(spar.ReasonShed, after)
 	}
 
-	if r, ok := g.wait(ctx, e, req, left); !ok {
+	if r, ok := g.wait(ctx, e, left); !ok {
 		g.queue.Leave(e)
 
 		return r
@@ -169,7 +169,7 @@
 	return Result{}, true
 }
 
-func (g *Gate) wait(ctx context.Context, e *Entrant, req Request, left <-chan struct{}) (Result, bool) {
+func (g *Gate) wait(ctx context.Context, e *Entrant, left <-chan struct{}) (Result, bool) {
 	select {
 	case <-e.Turn():
 		return Result{}, true
--- a/owner/maps.go
+++ b/owner/maps.go
@@ -33,6 +33,11 @@
 	return m.get(service).Revision
 }
 
+// Ranges returns the owned ranges of a service.
+func (m *Maps) Ranges(service string) []keymap.Range {
+	return m.get(service).Map.Ranges
+}
+
 // Changed is closed at the next change of any map.
 func (m *Maps) Changed() <-chan struct{} {
 	m.mu.Lock()
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -17,6 +17,7 @@
 const (
 	methodMap   = "owner.map"
 	methodOffer = "owner.offer"
+	methodPull  = "owner.pull"
 	// methodExpect announces keys to nodes that may get some.
 	methodExpect = "owner.expect"
 
@@ -124,6 +125,9 @@
 
 		return struct{}{}, nil
 	})
+	peers.Handle(mux, methodPull, func(_ context.Context, p mapRequest) (versioned, error) {
+		return o.deps.Maps.get(p.Service), nil
+	})
 	peers.Handle(mux, methodOffer, func(_ context.Context, p offer) (offerReply, error) {
 		return offerReply{Accepted: o.accept(p)}, nil
 	})
@@ -141,6 +145,26 @@
 	Service string `json:"service"`
 }
 
+// mapRequest asks a peer for its map of a service.
+type mapRequest struct {
+	Service string `json:"service"`
+}
+
+// Pull asks a peer that knows a newer map of a service for it.
+func (o *Owner) Pull(ctx context.Context, peerAddr, service string) {
+	ctx, cancel := context.WithTimeout(ctx, offerTimeout.Duration())
+	defer cancel()
+
+	var v versioned
+	if err := o.deps.Peers.Call(ctx, peerAddr, methodPull, mapRequest{Service: service}, &v); err != nil {
+		o.deps.Log.Debug("map of owners not pulled", "peer_addr", peerAddr, "service", service, "cause", err)
+
+		return
+	}
+
+	o.adopt(service, v)
+}
+
 // adopt takes a map that was read or told.
 func (o *Owner) adopt(service string, v versioned) {
 	if o.deps.Maps.put(service, v) {
--- a/owner/plan.go
+++ b/owner/plan.go
@@ -15,6 +15,9 @@
 	planRound spar.Millis = 300
 	// settleFor is how long the set of nodes must be unchanged before keys are given out for the first time.
 	settleFor spar.Millis = 1200
+	// rereadRound is the pause between two reads of the map by the leading node: a node that wrote one may
+	// have ended before it told anybody.
+	rereadRound spar.Millis = 10_000
 	// suspectRound is the pause between two reads of a silent node's lease.
 	suspectRound spar.Millis = 1000
 )
@@ -31,6 +34,7 @@
 	var (
 		members string
 		since   spar.Millis
+		reread  = o.deps.Clock.Now()
 	)
 
 	for o.deps.Clock.Sleep(ctx, planRound) {
@@ -46,6 +50,11 @@
 		}
 
 		if o.leads(live) {
+			if now-reread >= rereadRound {
+				reread = now
+				o.readMap(ctx)
+			}
+
 			o.takeOver(ctx, live)
 
 			if now-since >= settleFor {
--- a/owner/values.go
+++ b/owner/values.go
@@ -5,7 +5,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"strings"
 
 	spar "sardinespar.example/spar"
 	"sardinespar.example/spar/keymap"
@@ -58,15 +57,19 @@
 	Service  string `json:"service"`
 }
 
-// Table is the table of the nodes and the maps of owners, which all nodes follow.
+// Table is the table of the nodes, which all nodes follow.
 const Table = "fleet"
 
-// leaseTable is the table of the leases, which nobody follows. After the first slash of a key comes the
-// service, so that what changes together lies together.
-const leaseTable = "lease"
+// Nobody follows the leases and the maps: they change often, and each change would wake every node of
+// the fleet. Peers tell each other new maps. After the first slash of a key comes the service, so that
+// what changes together lies together.
+const (
+	leaseTable = "lease"
+	mapTable   = "owners"
+)
 
-func mapKey(service string) string         { return Table + "/" + service + "/map" }
-func nodeKey(service, node string) string  { return Table + "/" + service + "/node/" + node }
+func mapKey(service string) string         { return mapTable + "/" + service + "/map" }
+func nodeKey(service, node string) string  { return Table + "/" + service + "/" + node }
 func leaseKey(service, node string) string { return leaseTable + "/" + service + "/" + node }
 
 func encode(v any) json.RawMessage {
@@ -84,33 +87,16 @@
 	Map      keymap.Map    `json:"map"`
 }
 
-// Learn takes a row of the table, and returns the node that it names, if it does.
-func (o *Owner) Learn(row spar.Row) (NodeRow, bool) {
-	_, rest, _ := strings.Cut(row.Key, "/")
-	service, rest, _ := strings.Cut(rest, "/")
-
-	switch {
-	case row.Value == nil:
-		return NodeRow{}, false
-	case rest == "map":
-		v, err := decodeMap(row)
-		if err != nil {
-			o.deps.Log.Error("map of owners can't be decoded", "key", row.Key, "revision", row.Revision, "cause", err)
-
-			return NodeRow{}, false
-		}
-
-		o.adopt(service, v)
-
-		return NodeRow{}, false
-	}
-
+// DecodeNode reads a node's row.
+func DecodeNode(row spar.Row) (NodeRow, error) {
 	var n NodeRow
-	if err := json.Unmarshal(row.Value, &n); err != nil || n.Node == "" || n.PeerAddr == "" {
-		o.deps.Log.Error("row of a node can't be decoded", "key", row.Key, "revision", row.Revision, "cause", err)
+	if err := json.Unmarshal(row.Value, &n); err != nil {
+		return NodeRow{}, fmt.Errorf("row %s: %w", row.Key, err)
+	}
 
-		return NodeRow{}, false
+	if n.Node == "" || n.PeerAddr == "" {
+		return NodeRow{}, fmt.Errorf("row %s names no node or address", row.Key)
 	}
 
-	return n, true
+	return n, nil
 }
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -8,7 +8,7 @@
 	"sardinespar.example/spar/owner"
 )
 
-// loopFleet follows the nodes and the maps of owners in the table.
+// loopFleet follows the nodes in the table.
 func (r *Relay) loopFleet(ctx context.Context) {
 	f := follower{
 		name: owner.Table, table: r.deps.Table, clock: r.deps.Clock, log: r.deps.Log, all: r.fleetRows, some: r.fleetRows,
@@ -19,9 +19,18 @@
 
 func (r *Relay) fleetRows(rows []spar.Row) {
 	for _, row := range rows {
-		if n, ok := r.owner.Learn(row); ok {
-			r.mesh.Learn(n.Node, n.PeerAddr, n.Zone, n.Service)
+		if row.Value == nil {
+			continue
 		}
+
+		n, err := owner.DecodeNode(row)
+		if err != nil {
+			r.deps.Log.Error("row of a node refused", "revision", row.Revision, "cause", err)
+
+			continue
+		}
+
+		r.mesh.Learn(n.Node, n.PeerAddr, n.Zone, n.Service)
 	}
 }
 
@@ -39,11 +48,18 @@
 		askAgain(r.operator.again)
 	}
 
-	if s.MapRevision > r.maps.Revision(s.Service) {
-		askAgain(r.fleetAgain)
+	if s.MapRevision > r.maps.Revision(s.Service) && r.pulling.CompareAndSwap(false, true) {
+		go r.runPull(s)
 	}
 }
 
+// runPull takes a newer map from a peer, one at a time.
+func (r *Relay) runPull(s mesh.State) {
+	defer r.pulling.Store(false)
+
+	r.owner.Pull(r.work, s.PeerAddr, s.Service)
+}
+
 // storeBack makes both feeds ask again after the store was away.
 func (r *Relay) storeBack() {
 	askAgain(r.operator.again)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -96,6 +96,10 @@
 	closed     atomic.Bool
 	active     atomic.Int64
 	fleetAgain chan struct{}
+	// pulling is set while a map is taken from a peer.
+	pulling atomic.Bool
+	// work ends with the process's own tasks, after the requests under way.
+	work context.Context //nolint:containedctx // Tasks that answer a peer's state have no other context.
 }
 
 // New returns a relay that is not running yet.
@@ -159,6 +163,7 @@
 // Run serves until ctx ends, and then lets requests under way end.
 func (r *Relay) Run(ctx context.Context, ln Listeners) error {
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	r.work = work
 
 	var wg sync.WaitGroup
 	defer wg.Wait()
