Let leases end by the table's clock

Ruled out: a shorter lease; it would end during an outage of the store of 9 s.

Change: a lease row carries its latest end on the store's steady clock, bounded from the last answer; without such a clock the age of the row decides as before. The oracle's test plays both.

--- a/owner/cluster_test.go
+++ b/owner/cluster_test.go
@@ -277,10 +277,22 @@
 	hot atomic.Bool
 }
 
+// newTable returns a table; that of every second seed has a clock.
+func newTable(seed uint64) *fault.Store {
+	m := table.NewMemory()
+
+	if seed%2 == 0 {
+		start := time.Now()
+		m.Clocked(func() spar.Millis { return spar.MillisOf(time.Since(start)) + 5000 })
+	}
+
+	return fault.NewStore(m)
+}
+
 func newCluster(n int, seed uint64, flaws flaw.Set) (c *cluster, stop func()) {
 	ctx, stop := context.WithCancel(context.Background())
 	c = &cluster{
-		ctx: ctx, net: fault.NewNet(seed), store: fault.NewStore(table.NewMemory()), oracle: newOracle(), flaws: flaws,
+		ctx: ctx, net: fault.NewNet(seed), store: newTable(seed), oracle: newOracle(), flaws: flaws,
 	}
 
 	for i := range n {
--- a/owner/lease.go
+++ b/owner/lease.go
@@ -42,8 +42,31 @@
 	}
 }
 
-func (o *Owner) leaseValue() json.RawMessage {
-	return encode(leaseRow{Node: o.cfg.Node, Incarnation: o.cfg.Incarnation, Addr: o.cfg.AppAddr})
+// leaseValue returns the row of a lease whose renewal is sent now.
+func (o *Owner) leaseValue(sent spar.Millis) json.RawMessage {
+	row := leaseRow{Node: o.cfg.Node, Incarnation: o.cfg.Incarnation, Addr: o.cfg.AppAddr}
+
+	o.mu.Lock()
+	defer o.mu.Unlock()
+
+	if o.tableClocked {
+		row.Until = sent + o.tableAhead + o.cfg.LeaseFor
+	}
+
+	return encode(row)
+}
+
+// readClock takes the table's clock from an answer to a call that was sent at a time: the table was not
+// further ahead than its answer says, since it answered after that.
+func (o *Owner) readClock(sent, table spar.Millis) {
+	if table <= 0 {
+		return
+	}
+
+	o.mu.Lock()
+	defer o.mu.Unlock()
+
+	o.tableAhead, o.tableClocked = table-sent, true
 }
 
 // take writes a lease of this incarnation and then reads the map: what an earlier incarnation sent to
@@ -66,7 +89,7 @@
 	result := o.commit(ctx, spar.Txn{
 		Conditions: []spar.Condition{{Key: key, Revision: row.Revision}},
 		Writes: []spar.Write{
-			{Key: key, Value: o.leaseValue()},
+			{Key: key, Value: o.leaseValue(sent)},
 			{Key: nodeKey(o.cfg.Service, o.cfg.Node), Value: encode(NodeRow{
 				Node: o.cfg.Node, PeerAddr: o.cfg.PeerAddr, Zone: o.cfg.Zone, Service: o.cfg.Service,
 			})},
@@ -105,7 +128,7 @@
 		return true
 	}
 
-	return o.expired(leaseKey(o.cfg.Service, o.cfg.Node), row.Revision)
+	return o.expired(row)
 }
 
 // renew writes the lease again. A refused renewal means that the row has changed: by an earlier
@@ -120,7 +143,7 @@
 	sent := o.deps.Clock.Now()
 	result := o.commit(ctx, spar.Txn{
 		Conditions: []spar.Condition{{Key: key, Revision: held.revision}},
-		Writes:     []spar.Write{{Key: key, Value: o.leaseValue()}},
+		Writes:     []spar.Write{{Key: key, Value: o.leaseValue(sent)}},
 	})
 
 	o.noteStore(result.Verdict == spar.Unknown)
@@ -220,12 +243,23 @@
 	ctx, cancel := context.WithTimeout(ctx, o.cfg.StoreTimeout.Duration())
 	defer cancel()
 
-	return o.deps.Table.Get(ctx, key)
+	sent := o.deps.Clock.Now()
+
+	row, found, err := o.deps.Table.Get(ctx, key)
+	if err == nil {
+		o.readClock(sent, row.Now)
+	}
+
+	return row, found, err
 }
 
 func (o *Owner) commit(ctx context.Context, txn spar.Txn) spar.Commit {
 	ctx, cancel := context.WithTimeout(ctx, o.cfg.StoreTimeout.Duration())
 	defer cancel()
 
-	return o.deps.Table.Commit(ctx, txn)
+	sent := o.deps.Clock.Now()
+	result := o.deps.Table.Commit(ctx, txn)
+	o.readClock(sent, result.Now)
+
+	return result
 }
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -91,6 +91,9 @@
 	// expecting ends the time in which keys are announced to come here.
 	expecting spar.Millis
 	suspects  map[string]suspect
+	// tableAhead is the most by which the table's clock is ahead of this node's, if tableClocked.
+	tableAhead   spar.Millis
+	tableClocked bool
 	// storeDown says that the last renewal had no answer.
 	storeDown bool
 }
--- a/owner/plan.go
+++ b/owner/plan.go
@@ -197,26 +197,35 @@
 		return true
 	}
 
-	return o.expired(key, row.Revision)
+	return o.expired(row)
 }
 
-// expired reports whether a lease row has been seen at one revision for longer than a lease lasts.
-func (o *Owner) expired(key string, revision spar.Revision) bool {
+// expired reports whether a lease is over: by the table's clock, or since its row has been seen at one
+// revision for longer than a lease lasts.
+func (o *Owner) expired(row spar.Row) bool {
 	now := o.deps.Clock.Now()
+	key, revision := row.Key, row.Revision
+
+	var l leaseRow
+	if err := json.Unmarshal(row.Value, &l); err != nil {
+		o.deps.Log.Warn("lease row can't be read; its age decides", "key", key, "revision", revision, "cause", err)
+	}
 
 	o.mu.Lock()
 	defer o.mu.Unlock()
 
 	s, ok := o.suspects[key]
 	if !ok || s.revision != revision {
-		o.suspects[key] = suspect{revision: revision, since: now, read: now}
-
-		return false
+		s = suspect{revision: revision, since: now}
 	}
 
 	s.read = now
 	o.suspects[key] = s
 
+	if l.Until > 0 && row.Now > l.Until+o.cfg.LeaseFor*2*clockError {
+		return true
+	}
+
 	return o.deps.Flaws.NoWait || now-s.since > o.cfg.LeaseFor*(1+2*clockError)
 }
 
--- a/owner/values.go
+++ b/owner/values.go
@@ -41,12 +41,14 @@
 	For    spar.Millis
 }
 
-// leaseRow is a node's lease in the table. Its revision is what matters: a lease is over when the row
-// has not been written for the lease's time.
+// leaseRow is a node's lease in the table. It is over when the table's clock is past its end, or, with a
+// table that has no clock, when the row was seen at one revision for the lease's time.
 type leaseRow struct {
 	Node        string `json:"node"`
 	Incarnation string `json:"incarnation"`
 	Addr        string `json:"addr"`
+	// Until is the latest end of the lease on the table's clock, or 0.
+	Until spar.Millis `json:"until_ms,omitempty"`
 }
 
 // NodeRow tells other nodes how to reach a node.
--- a/table.go
+++ b/table.go
@@ -13,6 +13,8 @@
 	Key      string          `json:"key"`
 	Value    json.RawMessage `json:"value"`
 	Revision Revision        `json:"revision"`
+	// Now is the table's steady clock when it answered, or 0 if the table tells none.
+	Now Millis `json:"now_ms,omitempty"`
 }
 
 // Condition demands that a row has a revision; 0 demands that the row is absent.
@@ -48,6 +50,8 @@
 	Verdict  Verdict  `json:"verdict"`
 	Revision Revision `json:"revision,omitempty"`
 	Conflict string   `json:"conflict,omitempty"`
+	// Now is the table's steady clock when it answered, or 0 if the table tells none.
+	Now Millis `json:"now_ms,omitempty"`
 }
 
 // Table is the platform's transactional table service.
--- a/table/memory.go
+++ b/table/memory.go
@@ -15,11 +15,19 @@
 	mu       sync.Mutex
 	rows     map[string]spar.Row
 	revision spar.Revision
+	now      func() spar.Millis
 }
 
 // NewMemory returns an empty table.
 func NewMemory() *Memory {
-	return &Memory{rows: map[string]spar.Row{}}
+	return &Memory{rows: map[string]spar.Row{}, now: func() spar.Millis { return 0 }}
+}
+
+// Clocked makes the table tell the time of a steady clock. It must be called before the first use.
+func (m *Memory) Clocked(now func() spar.Millis) *Memory {
+	m.now = now
+
+	return m
 }
 
 // Get returns a row and whether it is there.
@@ -28,6 +36,7 @@
 	defer m.mu.Unlock()
 
 	row, ok := m.rows[key]
+	row.Now = m.now()
 
 	return row, ok, nil
 }
@@ -73,5 +82,5 @@
 		m.rows[w.Key] = spar.Row{Key: w.Key, Value: slices.Clone(w.Value), Revision: m.revision}
 	}
 
-	return spar.Commit{Verdict: spar.Applied, Revision: m.revision}
+	return spar.Commit{Verdict: spar.Applied, Revision: m.revision, Now: m.now()}
 }
