Log each decision within a bound and count requests and latencies

Cause: a refused request could not be traced: the entry logged its reason without what decided it, the gate logged nothing, and standard output could block a request.

Change: the entry logs what became of a request with rule, versions, node, tries and times, the gate why a backend server did not answer; at most 5 served and 50 other lines a second at the entry and 30 at the gate, with the number left out. Counters and latency buckets are served as text.

--- a/cmd/spard/relay.go
+++ b/cmd/spard/relay.go
@@ -20,6 +20,7 @@
 	"sardinespar.example/spar/conns"
 	"sardinespar.example/spar/platform"
 	"sardinespar.example/spar/relay"
+	"sardinespar.example/spar/tally"
 )
 
 const (
@@ -39,17 +40,32 @@
 
 	debug.SetGCPercent(cfg.GCPercent)
 
-	l := newLogger(os.Stdout, cfg.LogLevel, cfg.LogFormat)
+	clock := spar.BootClock()
+	lines := tally.NewLines(os.Stdout)
+	written := make(chan struct{})
+	logged, cancel := context.WithCancel(context.Background())
+
+	go func() {
+		defer close(written)
+
+		lines.Run(logged, clock)
+	}()
+
+	defer func() {
+		cancel()
+		<-written
+	}()
+
+	l := newLogger(lines, cfg.LogLevel, cfg.LogFormat)
 	r := reloader{files: files, overrides: overrides, log: l}
 
 	go r.run(ctx)
 
-	ln, err := openRelay(ctx, cfg)
+	ln, err := openRelay(ctx, cfg, l)
 	if err != nil {
 		return err
 	}
 
-	clock := spar.BootClock()
 	dialer := &net.Dialer{
 		Timeout:         dialTimeout,
 		Control:         boundSilence,
@@ -60,7 +76,7 @@
 	return relay.New(cfg, relay.Deps{
 		Clock: clock, Wall: func() int64 { return time.Now().UnixMilli() },
 		Table:   platform.NewStore(cfg.Store, conns.New(dial, clock, conns.Options{MaxIdle: storeIdle, IdleFor: idleStore})),
-		Adapter: platform.Adapter{}, Dial: dial, Log: l, Incarnation: strings.ToLower(rand.Text()[:10]),
+		Adapter: platform.Adapter{}, Dial: dial, Log: l, Tally: tally.New(), Incarnation: strings.ToLower(rand.Text()[:10]),
 	}).Run(ctx, ln)
 }
 
@@ -81,7 +97,8 @@
 	return failed
 }
 
-func openRelay(ctx context.Context, cfg config.Relay) (relay.Listeners, error) {
+// openRelay opens the listeners. A node serves also without its metrics.
+func openRelay(ctx context.Context, cfg config.Relay, l *log.Logger) (relay.Listeners, error) {
 	var ln relay.Listeners
 
 	lc := net.ListenConfig{
@@ -98,7 +115,6 @@
 		{cfg.Ready, &ln.Ready},
 		{cfg.Control, &ln.Control},
 		{cfg.Peer, &ln.Peer},
-		{cfg.Metrics, &ln.Metrics},
 	} {
 		if l.addr == "" {
 			continue
@@ -112,6 +128,17 @@
 		*l.to = opened
 	}
 
+	if cfg.Metrics != "" {
+		opened, err := lc.Listen(ctx, "tcp", cfg.Metrics)
+		if err != nil {
+			l.Error("metrics are not served", "cause", err)
+
+			return ln, nil
+		}
+
+		ln.Metrics = opened
+	}
+
 	return ln, nil
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -19,6 +19,7 @@
 	"sardinespar.example/spar/mesh"
 	"sardinespar.example/spar/owner"
 	"sardinespar.example/spar/rules"
+	"sardinespar.example/spar/tally"
 )
 
 // replyMargin is kept between the end of the work and the caller's deadline, for the way back.
@@ -46,6 +47,8 @@
 	Log   *log.Logger
 	// Evacuated reports whether an availability zone is taken out.
 	Evacuated func(zone string) bool
+	// Tally counts requests and their latencies.
+	Tally *tally.Tally
 	// Closing reports whether callers should open new connections elsewhere.
 	Closing func() bool
 	// Closed reports whether new requests are refused, since the process is about to end.
@@ -59,11 +62,24 @@
 	budget  *Budget
 	tracker *Tracker
 	buffers *copyBuffers
+	// served and failed bound the log lines of requests that were answered by a backend server, and of
+	// others.
+	served *tally.Limit
+	failed *tally.Limit
 }
 
+const (
+	// servedLines and failedLines are the most log lines a second.
+	servedLines = 5
+	failedLines = 50
+)
+
 // New returns an entry.
 func New(cfg Settings, deps Deps) *Entry {
-	return &Entry{cfg: cfg, deps: deps, budget: NewBudget(), tracker: NewTracker(), buffers: newCopyBuffers()}
+	return &Entry{
+		cfg: cfg, deps: deps, budget: NewBudget(), tracker: NewTracker(), buffers: newCopyBuffers(),
+		served: tally.NewLimit(deps.Clock, servedLines), failed: tally.NewLimit(deps.Clock, failedLines),
+	}
 }
 
 // refusal is an answer of this node's own.
@@ -78,7 +94,7 @@
 
 	set := e.deps.Rules()
 	if set == nil || e.deps.Closed() {
-		e.refuse(w, r, gate.Refused(spar.ReasonLeaving, retryLeast))
+		e.refuse(w, gate.Refused(spar.ReasonLeaving, retryLeast))
 
 		return
 	}
@@ -103,6 +119,8 @@
 
 	result := e.route(ctx, req, rule)
 	result.Service = req.Service
+	took := e.deps.Clock.Now() - arrived
+	e.note(req, result, rule, set.Version, took)
 
 	if result.Outcome == spar.OutcomeCompleted {
 		e.deliver(w, result)
@@ -110,7 +128,7 @@
 		return
 	}
 
-	e.refuse(w, r, result)
+	e.refuse(w, result)
 }
 
 // parse reads a request's header.
@@ -202,6 +220,30 @@
 	return nil
 }
 
+// note counts a request and logs what became of it.
+func (e *Entry) note(req gate.Request, r gate.Result, rule rules.Rule, version uint64, took spar.Millis) {
+	e.deps.Tally.Count("spar_entry_" + string(r.Outcome) + "_total")
+	e.deps.Tally.Observe("spar_entry_latency_ms", took)
+
+	limit, level, text := e.served, log.InfoLevel, "request served"
+	if r.Outcome != spar.OutcomeCompleted {
+		limit, level, text = e.failed, log.WarnLevel, "request not served"
+
+		e.deps.Tally.Count("spar_entry_" + string(r.Reason) + "_total")
+	}
+
+	left, ok := limit.Allow()
+	if !ok {
+		return
+	}
+
+	e.deps.Log.Log(level, text, "id", req.ID, "rule", rule.Name, "rules", version, "service", req.Service,
+		"key", req.Key, "map", e.deps.Maps.Revision(req.Service), "node", r.Node, "outcome", r.Outcome,
+		"reason", r.Reason, "status", r.Status, "tries", r.Tries, "took_ms", int(took),
+		"left_ms", int(req.Deadline-e.deps.Clock.Now()), "retry_after_ms", int(r.RetryAfter), "detail", r.Detail,
+		"left_out", left)
+}
+
 func (e *Entry) deliver(w http.ResponseWriter, r gate.Result) {
 	h := w.Header()
 	for name, values := range r.Header {
@@ -217,6 +259,14 @@
 
 // reject answers a request that can't be routed.
 func (e *Entry) reject(w http.ResponseWriter, r *http.Request, bad refusal) {
+	e.deps.Tally.Count("spar_entry_rejected_total")
+
+	if _, ok := e.failed.Allow(); !ok {
+		e.end(w, bad.status, bad.cause)
+
+		return
+	}
+
 	e.deps.Log.Warn("request rejected", "id", r.Header.Get(e.cfg.Names.RequestID), "status", bad.status,
 		"cause", bad.cause, "host", r.Host, "path", r.URL.Path)
 	e.end(w, bad.status, bad.cause)
@@ -224,7 +274,7 @@
 
 // refuse answers a request that no backend server answered. Only a request that has not run gets the
 // status that says so.
-func (e *Entry) refuse(w http.ResponseWriter, r *http.Request, result gate.Result) {
+func (e *Entry) refuse(w http.ResponseWriter, result gate.Result) {
 	status := http.StatusBadGateway
 
 	switch {
@@ -236,10 +286,6 @@
 		status = http.StatusGatewayTimeout
 	}
 
-	e.deps.Log.Warn("request failed", "id", r.Header.Get(e.cfg.Names.RequestID), "path", r.URL.Path,
-		"service", result.Service, "node", result.Node, "status", status,
-		"outcome", result.Outcome, "reason", result.Reason, "detail", result.Detail,
-		"retry_after_ms", int(result.RetryAfter))
 	e.end(w, status, string(result.Reason))
 }
 
--- a/entry/route.go
+++ b/entry/route.go
@@ -43,6 +43,8 @@
 		tried[c.Node] = true
 
 		r := e.attempt(ctx, c, req)
+		r.Tries = len(tried)
+
 		if !e.again(ctx, req, rule, r, &sent) {
 			return settle(r, doubt)
 		}
@@ -102,8 +104,10 @@
 // attempt sends a request to one node.
 func (e *Entry) attempt(ctx context.Context, c Candidate, req gate.Request) gate.Result {
 	e.tracker.Begin(c.Node)
+	start := e.deps.Clock.Now()
 	r := e.send(ctx, c, req)
 	r.Node = c.Node
+	e.deps.Tally.Observe("spar_entry_attempt_ms", e.deps.Clock.Now()-start)
 	failed := r.Arrived || r.Outcome == spar.OutcomeCompleted && r.Status >= http.StatusInternalServerError
 	e.tracker.End(c.Node, failed && ctx.Err() == nil)
 
@@ -146,6 +150,7 @@
 		start = e.deps.Clock.Now()
 		until = start + (req.Objective-start)*waitShare
 		sent  int
+		tries int
 		doubt bool
 		last  = gate.Refused(spar.ReasonNoOwner, retryLeast)
 	)
@@ -155,7 +160,10 @@
 
 		c, missing := e.ownerOf(req)
 		if missing == "" {
+			tries++
 			r := e.attempt(ctx, c, req)
+			r.Tries = tries
+
 			if !e.again(ctx, req, rule, r, &sent) || r.Reason == spar.ReasonShed && !r.Arrived {
 				return settle(r, doubt)
 			}
--- a/gate/decide_test.go
+++ b/gate/decide_test.go
@@ -137,26 +137,30 @@
 }
 
 // Guards against a burst that makes all requests late: those that can't meet their objective are
-// refused on arrival, with the time after which there is room.
+// refused on arrival, with the time after which there is room. Guards also against the refusal of calls
+// that running work needs, which are as good late as in time.
 func TestQueueRefusesWhatWouldBeLate(t *testing.T) {
 	c := qt.New(t)
 	m := &manual{}
-	q := gate.NewQueue(m.clock())
-	admitted := 0
 
-	for range 50 {
-		e := &gate.Entrant{Objective: 300, Deadline: 1000}
+	// One slot and 50 ms a request: six fit into 300 ms, and twenty into a second.
+	for rank, want := range []int{20, 6, 6} {
+		q := gate.NewQueue(m.clock())
+		admitted := 0
+
+		for range 50 {
+			e := &gate.Entrant{Priority: rank, Objective: 300, Deadline: 1000}
 
-		ok, after := q.Enter(e)
-		if ok {
-			admitted++
-		} else {
-			c.Assert(after > 0, qt.IsTrue)
+			ok, after := q.Enter(e)
+			if ok {
+				admitted++
+			} else {
+				c.Assert(after > 0, qt.IsTrue)
+			}
 		}
-	}
 
-	// One slot and 50 ms a request: six fit into 300 ms.
-	c.Assert(admitted, qt.Equals, 6)
+		c.Assert(admitted, qt.Equals, want)
+	}
 }
 
 // Guards against measured rates that don't follow the requests, on which placement rests.
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -10,6 +10,7 @@
 	spar "sardinespar.example/spar"
 	"sardinespar.example/spar/conns"
 	"sardinespar.example/spar/rules"
+	"sardinespar.example/spar/tally"
 )
 
 // Settings are the settings of a gate.
@@ -29,6 +30,8 @@
 	Clock spar.Clock
 	Pool  *conns.Pool
 	Log   *log.Logger
+	// Tally counts what the gate refuses and runs.
+	Tally *tally.Tally
 	// Rules returns the rules in force, or nil.
 	Rules func() *rules.Set
 	// Closed reports whether no new request may run: the VM's availability zone is taken out, or the
@@ -45,6 +48,9 @@
 	rate  Rate
 	keys  *KeyLoad
 
+	// refusals bounds the log lines of requests that are not answered.
+	refusals *tally.Limit
+
 	state   atomic.Pointer[Upstream]
 	mu      sync.Mutex
 	probing bool
@@ -52,9 +58,15 @@
 	cut chan struct{}
 }
 
+// refusalLines is the most log lines a second of requests that are not answered.
+const refusalLines = 30
+
 // New returns a gate without a backend server.
 func New(cfg Settings, deps Deps) *Gate {
-	g := &Gate{cfg: cfg, deps: deps, queue: NewQueue(deps.Clock), keys: NewKeyLoad(deps.Clock), cut: make(chan struct{})}
+	g := &Gate{
+		cfg: cfg, deps: deps, queue: NewQueue(deps.Clock), keys: NewKeyLoad(deps.Clock), cut: make(chan struct{}),
+		refusals: tally.NewLimit(deps.Clock, refusalLines),
+	}
 	g.state.Store(&Upstream{})
 
 	return g
@@ -110,6 +122,33 @@
 
 // Serve runs a request at the backend server, or says why not.
 func (g *Gate) Serve(ctx context.Context, req Request) Result {
+	r := g.serve(ctx, req)
+
+	g.deps.Tally.Count("spar_gate_" + string(r.Outcome) + "_total")
+
+	if r.Outcome != spar.OutcomeCompleted {
+		g.deps.Tally.Count("spar_gate_" + string(r.Reason) + "_total")
+		g.logRefusal(req, r)
+	}
+
+	return r
+}
+
+// logRefusal logs why the backend server did not answer a request, with what decided it.
+func (g *Gate) logRefusal(req Request, r Result) {
+	left, ok := g.refusals.Allow()
+	if !ok {
+		return
+	}
+
+	u, l, now := g.Upstream(), g.Load(), g.deps.Clock.Now()
+	g.deps.Log.Warn("request not run to its end", "id", req.ID, "outcome", r.Outcome, "reason", r.Reason,
+		"key", req.Key, "instance", u.Life.ID, "wanted", req.Life, "ready", u.Ready, "cold", u.Cold(now),
+		"hold_left_ms", int(u.HoldUntil-now), "running", l.Running, "waiting", l.Waiting,
+		"service_ms", int(l.Service), "left_ms", int(req.Deadline-now), "detail", r.Detail, "left_out", left)
+}
+
+func (g *Gate) serve(ctx context.Context, req Request) Result {
 	if req.Key != NoKey {
 		g.keys.Note(req.Key)
 	}
--- a/gate/request.go
+++ b/gate/request.go
@@ -45,6 +45,8 @@
 	RetryAfter spar.Millis
 	// Arrived says that the request reached a backend server, which then refused it or may have run it.
 	Arrived bool
+	// Tries is the number of nodes that were asked.
+	Tries int
 	// Service and Node are where the last attempt went, for the log.
 	Service string
 	Node    string
--- a/gate/run.go
+++ b/gate/run.go
@@ -198,7 +198,9 @@
 	b.over = true
 	err := b.ReadCloser.Close()
 	b.cancel()
-	b.gate.queue.Served(b.gate.deps.Clock.Now() - b.start)
+	took := b.gate.deps.Clock.Now() - b.start
+	b.gate.deps.Tally.Observe("spar_gate_run_ms", took)
+	b.gate.queue.Served(took)
 	b.gate.queue.Leave(b.entrant)
 
 	return err
--- a/owner/cluster_test.go
+++ b/owner/cluster_test.go
@@ -476,7 +476,7 @@
 
 // report tells who owns and who holds how many keys.
 func (c *cluster) report() []string {
-	var lines []string
+	lines := make([]string, 0, len(c.machines))
 
 	for _, m := range c.machines {
 		p := m.process()
@@ -543,15 +543,18 @@
 // against keys that nobody holds long after the last fault.
 func TestOneHolderUnderFaults(t *testing.T) {
 	for seed := range uint64(25) {
-		synctest.Test(t, func(t *testing.T) {
-			faults, whole := play(seed, flaw.Set{})
-			for _, f := range faults {
-				t.Errorf("seed %d: %s", seed, f)
-			}
-
-			if !whole {
-				t.Errorf("seed %d: keys without a holder 40 s after the last fault", seed)
-			}
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				faults, whole := play(seed, flaw.Set{})
+				for _, f := range faults {
+					t.Error(f)
+				}
+
+				if !whole {
+					t.Error("keys without a holder 40 s after the last fault")
+				}
+			})
 		})
 	}
 }
@@ -564,6 +567,8 @@
 		"epochs kept after a restart": {SameEpoch: true},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+
 			found := false
 
 			for seed := uint64(0); seed < 40 && !found; seed++ {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -22,6 +22,7 @@
 	"sardinespar.example/spar/owner"
 	"sardinespar.example/spar/peers"
 	"sardinespar.example/spar/rules"
+	"sardinespar.example/spar/tally"
 )
 
 const (
@@ -65,6 +66,8 @@
 	Adapter Adapter
 	Dial    func(ctx context.Context, addr string) (net.Conn, error)
 	Log     *log.Logger
+	// Tally is served on the metrics address.
+	Tally *tally.Tally
 	// Incarnation is new in each process.
 	Incarnation string
 }
@@ -117,7 +120,7 @@
 	r.gate = gate.New(gate.Settings{
 		Addr: cfg.App, Service: cfg.Service, Names: names, ColdShare: cfg.ColdShare, WholeBytes: int64(cfg.WholeBytes),
 	}, gate.Deps{
-		Clock: deps.Clock, Pool: pool, Log: deps.Log, Rules: r.operator.Rules,
+		Clock: deps.Clock, Pool: pool, Log: deps.Log, Tally: deps.Tally, Rules: r.operator.Rules,
 		Closed: func() bool { return r.closed.Load() || r.operator.Evacuated(cfg.Zone) },
 	})
 	r.mesh = mesh.New(cfg.Node, mesh.Deps{Clock: deps.Clock, Caller: caller, Log: deps.Log, Self: r.state, Heard: r.heard})
@@ -132,7 +135,8 @@
 	r.entry = entry.New(entry.Settings{
 		Node: cfg.Node, Zone: cfg.Zone, Service: cfg.Service, Names: names, BodyBytes: int64(cfg.BodyBytes),
 	}, entry.Deps{
-		Clock: deps.Clock, Rules: r.operator.Rules, Mesh: r.mesh, Maps: r.maps, Gate: r.gate, Pool: pool, Log: deps.Log,
+		Clock: deps.Clock, Rules: r.operator.Rules, Mesh: r.mesh, Maps: r.maps, Gate: r.gate, Pool: pool,
+		Log: deps.Log, Tally: deps.Tally,
 		Evacuated: r.operator.Evacuated, Closing: r.leaving.Load, Closed: r.closed.Load,
 	})
 	r.inbound = entry.NewInbound(r.gate, deps.Clock, deps.Log, int64(cfg.BodyBytes))
@@ -188,6 +192,13 @@
 		wg.Go(func() { failed <- servers[i].Serve(l) })
 	}
 
+	if ln.Metrics != nil {
+		metrics := r.server(r.deps.Tally)
+		servers = append(servers, metrics)
+
+		wg.Go(func() { _ = metrics.Serve(ln.Metrics) })
+	}
+
 	r.deps.Log.Info("started", "node", r.cfg.Node, "service", r.cfg.Service, "zone", r.cfg.Zone,
 		"incarnation", r.deps.Incarnation)
 
--- /dev/null
+++ b/tally/tally.go
@@ -0,0 +1,99 @@
+// Package tally counts what a relay does and serves the counts and latencies as text.
+package tally
+
+import (
+	"expvar"
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+
+	spar "sardinespar.example/spar"
+)
+
+// bounds are the upper ends of the latency buckets, in milliseconds.
+var bounds = [...]spar.Millis{5, 10, 20, 50, 100, 200, 300, 500, 800, 1200, 2000, 5000}
+
+// histogram counts latencies by bucket; the last bucket has no upper end.
+type histogram struct {
+	counts [len(bounds) + 1]int64
+	sum    spar.Millis
+}
+
+// Tally holds counters and histograms by name. The nil Tally counts nothing.
+type Tally struct {
+	counters expvar.Map
+
+	mu         sync.Mutex
+	histograms map[string]*histogram
+}
+
+// New returns a tally without counts.
+func New() *Tally {
+	return &Tally{histograms: map[string]*histogram{}}
+}
+
+// Count adds one to a counter.
+func (t *Tally) Count(name string) {
+	if t != nil {
+		t.counters.Add(name, 1)
+	}
+}
+
+// Observe adds a latency to a histogram.
+func (t *Tally) Observe(name string, d spar.Millis) {
+	if t == nil {
+		return
+	}
+
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	h, ok := t.histograms[name]
+	if !ok {
+		h = &histogram{}
+		t.histograms[name] = h
+	}
+
+	i := 0
+	for i < len(bounds) && d > bounds[i] {
+		i++
+	}
+
+	h.counts[i]++
+	h.sum += d
+}
+
+// ServeHTTP writes one line for each counter and bucket: a name and a number.
+func (t *Tally) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	t.counters.Do(func(kv expvar.KeyValue) { _, _ = fmt.Fprintf(w, "%s %s\n", kv.Key, kv.Value) })
+
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	for _, name := range slices.Sorted(maps.Keys(t.histograms)) {
+		t.histograms[name].write(w, name)
+	}
+}
+
+// write writes how many latencies were at or below each bound.
+func (h *histogram) write(w io.Writer, name string) {
+	total := int64(0)
+
+	for i, n := range h.counts {
+		total += n
+
+		bound := "inf"
+		if i < len(bounds) {
+			bound = strconv.Itoa(int(bounds[i]))
+		}
+
+		_, _ = fmt.Fprintf(w, "%s_le_%s %d\n", name, bound, total)
+	}
+
+	_, _ = fmt.Fprintf(w, "%s_sum %d\n%s_count %d\n", name, int64(h.sum), name, total)
+}
