--- a/docs/pages_test.go
+++ b/docs/pages_test.go
@@ -27,6 +27,7 @@
 		file, begin, part string
 	}{
 		{"operators/settings.md", "## [node]", config.Reference(config.Keys())},
+		{"operators/relay-settings.md", "## [node]", config.Reference(config.RelayKeys())},
 		{"operators/presets.md", "| key | default", preset.Reference()},
 		{"operators/metrics.md", "## Metrics", meter.Reference()},
 	} {
