--- a/conns/pool.go
+++ b/conns/pool.go
@@ -10,7 +10,6 @@
 	"net/http"
 	"strconv"
 	"sync"
-	"sync/atomic"
 
 	spar "sardinespar.example/spar"
 )
@@ -43,7 +42,6 @@
 	clock   spar.Clock
 	opts    Options
 	writers sync.Pool
-	opened  atomic.Int64
 
 	mu   sync.Mutex
 	idle map[string][]*conn
@@ -91,11 +89,6 @@
 // errStale says that a connection brought only answers to other requests.
 var errStale = errors.New("answers belong to other requests")
 
-// Opened returns the number of connections opened so far.
-func (p *Pool) Opened() int64 {
-	return p.opened.Load()
-}
-
 // Send sends a request and returns the answer once its header is in. The caller must close the body.
 // Ending ctx closes the connection.
 func (p *Pool) Send(ctx context.Context, addr string, req Request) (*http.Response, *SendError) {
@@ -227,8 +220,6 @@
 		return nil, fmt.Errorf("connect to %s: %w", addr, err)
 	}
 
-	p.opened.Add(1)
-
 	return newConn(raw, addr), nil
 }
 
--- a/entry/budget.go
+++ b/entry/budget.go
@@ -1,10 +1,6 @@
 package entry
 
-import (
-	"sync"
-
-	spar "sardinespar.example/spar"
-)
+import "sync"
 
 const (
 	// budgetShare is the part of a service's requests that a node may send once more.
@@ -58,6 +54,3 @@
 
 	return n
 }
-
-// retryAfterMost bounds the time that a refused caller is sent away for.
-const retryAfterMost spar.Millis = 1000
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -22,8 +22,12 @@
 	"sardinespar.example/spar/tally"
 )
 
-// replyMargin is kept between the end of the work and the caller's deadline, for the way back.
-const replyMargin spar.Millis = 15
+const (
+	// replyMargin is kept between the end of the work and the caller's deadline, for the way back.
+	replyMargin spar.Millis = 15
+	// retryAfterMost bounds the time that a refused caller is sent away for.
+	retryAfterMost spar.Millis = 1000
+)
 
 // Settings are the settings of an entry.
 type Settings struct {
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -16,9 +16,8 @@
 // Settings are the settings of a gate.
 type Settings struct {
 	// Addr is the backend server's address.
-	Addr    string
-	Service string
-	Names   spar.HeaderNames
+	Addr  string
+	Names spar.HeaderNames
 	// ColdShare is the part of a cold backend server's rate that is used.
 	ColdShare float64
 	// WholeBytes is the size up to which an answer is read whole before it is passed on.
--- a/owner/cluster_test.go
+++ b/owner/cluster_test.go
@@ -131,7 +131,7 @@
 	maps := owner.NewMaps()
 	caller := peers.NewPool(m.vm.Dial, &peers.Traffic{})
 	mux := peers.NewMux()
-	g := gate.New(gate.Settings{Service: service}, gate.Deps{
+	g := gate.New(gate.Settings{}, gate.Deps{
 		Clock: clock, Pool: conns.New(m.vm.Dial, clock, conns.Options{}), Log: quiet,
 		Rules: func() *rules.Set { return nil }, Closed: func() bool { return false },
 	})
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -118,7 +118,7 @@
 	caller := peers.NewPool(deps.Dial, r.traffic)
 
 	r.gate = gate.New(gate.Settings{
-		Addr: cfg.App, Service: cfg.Service, Names: names, ColdShare: cfg.ColdShare, WholeBytes: int64(cfg.WholeBytes),
+		Addr: cfg.App, Names: names, ColdShare: cfg.ColdShare, WholeBytes: int64(cfg.WholeBytes),
 	}, gate.Deps{
 		Clock: deps.Clock, Pool: pool, Log: deps.Log, Tally: deps.Tally, Rules: r.operator.Rules,
 		Closed: func() bool { return r.closed.Load() || r.operator.Evacuated(cfg.Zone) },
