--- a/mesh/state.go
+++ b/mesh/state.go
@@ -10,7 +10,7 @@
 type State struct {
 	Node        string `json:"node"`
 	Incarnation string `json:"incarnation"`
-	// Seq rises with each change within an incarnation, and Started tells incarnations apart by age.
+	// Seq rises with each state that an incarnation sends, and Started tells incarnations apart by age.
 	Seq     int64  `json:"seq"`
 	Started int64  `json:"started_ms"`
 	Zone    string `json:"zone"`
