Pace downloads to the rate of the VM's network link

Ruled out: compressing bodies between nodes (flate level 1 leaves 66594 bytes at 66609); too few slots (45 of 63 used).

The choice of a node counts the link's backlog.

--- a/config/keys.go
+++ b/config/keys.go
@@ -178,6 +178,22 @@
 	}
 }
 
+// number describes a setting that need not be whole.
+func number[S any](section, key string, def, least, most float64, help string, set func(*S, float64)) Key[S] {
+	text := func(f float64) string { return strconv.FormatFloat(f, 'f', -1, 64) }
+
+	return Key[S]{
+		Section: section, Name: key, Default: text(def), Help: help,
+		Accepted: fmt.Sprintf("a number from %s to %s", text(least), text(most)),
+		set: func(s *S, v string) bool {
+			n, err := strconv.ParseFloat(v, 64)
+			set(s, n)
+
+			return err == nil && n >= least && n <= most
+		},
+	}
+}
+
 // percent describes a setting given in whole percent and kept as a ratio.
 func percent[S any](key string, def, least, most int, help string, set func(*S, float64)) Key[S] {
 	return integer("policy", key+"_percent", def, least, most, help, func(s *S, n int) { set(s, float64(n)/100) })
--- a/config/relay.go
+++ b/config/relay.go
@@ -37,6 +37,9 @@
 	BodyBytes  int
 	Grace      spar.Millis
 
+	// LinkMbps is the bandwidth of the VM's network link in megabits a second, or 0 if it bounds nothing.
+	LinkMbps float64
+
 	GCPercent int
 	LogLevel  string
 	LogFormat string
@@ -67,9 +70,9 @@
 
 func relayKeepKeys() []Key[Relay] {
 	return []Key[Relay]{
-		millis("keys", "lease_ms", 11_000, 1000, 600_000, "time that a lease lasts after its renewal was sent",
+		millis("keys", "lease_ms", 12_000, 1000, 600_000, "time that a lease lasts after its renewal was sent",
 			func(s *Relay, v spar.Millis) { s.Lease = v }),
-		millis("keys", "renew_ms", 1600, 100, 60_000, "pause between two renewals of the lease",
+		millis("keys", "renew_ms", 2000, 100, 60_000, "pause between two renewals of the lease",
 			func(s *Relay, v spar.Millis) { s.Renew = v }),
 		millis("keys", "hold_ms", 6000, 500, 600_000, "longest grant of keys to the backend server",
 			func(s *Relay, v spar.Millis) { s.Hold = v }),
@@ -88,6 +91,8 @@
 
 func relayLogKeys() []Key[Relay] {
 	return []Key[Relay]{
+		number("link", "mbps", 0, 0, 1_000_000, "bandwidth of the VM's network link in megabits a second; 0 bounds nothing",
+			func(s *Relay, f float64) { s.LinkMbps = f }),
 		integer("runtime", "gc_percent", 60, 10, 1000, "growth of the heap after which memory is collected, in percent",
 			func(s *Relay, n int) { s.GCPercent = n }),
 		choice("log", "level", []string{"info", "debug", "warn", "error"}, "least level of log lines",
--- a/entry/choose.go
+++ b/entry/choose.go
@@ -127,6 +127,10 @@
 		}
 	}
 
+	if !c.Local && kind == rules.Download {
+		cost += c.Load.Link
+	}
+
 	if c.Cold {
 		cost *= 3
 	}
--- a/entry/hop.go
+++ b/entry/hop.go
@@ -83,17 +83,17 @@
 // as new as its last request.
 func encodeLoad(l gate.Load) string {
 	return strconv.Itoa(l.Running) + " " + strconv.Itoa(l.Waiting) + " " + strconv.Itoa(l.Slots) + " " +
-		strconv.Itoa(int(l.Service))
+		strconv.Itoa(int(l.Service)) + " " + strconv.Itoa(int(l.Link))
 }
 
 func decodeLoad(s string) (gate.Load, bool) {
+	var n [5]int
+
 	fields := strings.Fields(s)
-	if len(fields) != 4 {
+	if len(fields) != len(n) {
 		return gate.Load{}, false
 	}
 
-	var n [4]int
-
 	for i, f := range fields {
 		v, err := strconv.Atoi(f)
 		if err != nil {
@@ -103,7 +103,9 @@
 		n[i] = v
 	}
 
-	return gate.Load{Running: n[0], Waiting: n[1], Slots: n[2], Service: spar.Millis(n[3])}, true
+	return gate.Load{
+		Running: n[0], Waiting: n[1], Slots: n[2], Service: spar.Millis(n[3]), Link: spar.Millis(n[4]),
+	}, true
 }
 
 // send sends a request to the node of a candidate.
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -9,6 +9,7 @@
 
 	spar "sardinespar.example/spar"
 	"sardinespar.example/spar/conns"
+	"sardinespar.example/spar/pace"
 	"sardinespar.example/spar/rules"
 	"sardinespar.example/spar/tally"
 )
@@ -28,7 +29,9 @@
 type Deps struct {
 	Clock spar.Clock
 	Pool  *conns.Pool
-	Log   *log.Logger
+	// Link is the VM's network link.
+	Link *pace.Link
+	Log  *log.Logger
 	// Tally counts what the gate refuses and runs.
 	Tally *tally.Tally
 	// Rules returns the rules in force, or nil.
@@ -104,7 +107,10 @@
 
 // Load returns the load of the backend server.
 func (g *Gate) Load() Load {
-	return g.queue.Load()
+	l := g.queue.Load()
+	l.Link = g.deps.Link.Wait()
+
+	return l
 }
 
 // Keys returns the measured load by key.
--- a/owner/cluster_test.go
+++ b/owner/cluster_test.go
@@ -18,6 +18,7 @@
 	"sardinespar.example/spar/internal/flaw"
 	"sardinespar.example/spar/mesh"
 	"sardinespar.example/spar/owner"
+	"sardinespar.example/spar/pace"
 	"sardinespar.example/spar/peers"
 	"sardinespar.example/spar/rules"
 	"sardinespar.example/spar/table"
@@ -132,6 +133,7 @@
 	caller := peers.NewPool(m.vm.Dial, &peers.Traffic{})
 	mux := peers.NewMux()
 	g := gate.New(gate.Settings{}, gate.Deps{
+		Link:  pace.New(clock, 0),
 		Clock: clock, Pool: conns.New(m.vm.Dial, clock, conns.Options{}), Log: quiet,
 		Rules: func() *rules.Set { return nil }, Closed: func() bool { return false },
 	})
@@ -156,7 +158,7 @@
 	}, owner.Deps{
 		Clock: clock, Table: m.c.store, Maps: maps, Gate: g, Mesh: msh, Peers: caller, Log: quiet,
 		Keyed: func(string) (bool, bool) { return true, true }, Evacuated: func(string) bool { return false },
-		StoreBack: func() {}, Flaws: m.c.flaws,
+		StoreBack: func() {}, Registered: func() {}, Flaws: m.c.flaws,
 	})
 
 	msh.Register(mux)
