Call the store less: nodes are read once, failures back off

Each node that starts wakes the question for changes of every other, and a failed question is asked again each 200 ms by each node.

Change: a node reads the nodes' table at its start and after its own row is written, and then each 15 s: of two nodes at least one finds the other and calls it. Failed questions and renewals back off to 1 s and 0.8 s with jitter. The operators' rows are read from their one part.

The table writer uses the same spar.Backoff instead of its own copy.

The queue beside a backend server also keeps the service time of each priority, so that short calls are not refused for the time that downloads take.

--- /dev/null
+++ b/backoff_test.go
@@ -0,0 +1,33 @@
+package spar_test
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	spar "sardinespar.example/spar"
+)
+
+// Guards against a fleet that calls a failed store at an unbounded rate, and against a pause that
+// outlives the failure.
+func TestBackoffDoublesAndEnds(t *testing.T) {
+	c := qt.New(t)
+	b := spar.Backoff{First: 100, Most: 1000}
+	c.Assert(b.Pause(), qt.Equals, spar.Millis(0))
+
+	for _, full := range []spar.Millis{100, 200, 400, 800, 1000, 1000} {
+		b = b.WithFailure()
+
+		for range 50 {
+			p := b.Pause()
+			c.Assert(p >= full/2 && p <= full, qt.IsTrue, qt.Commentf("%v of %v", p, full))
+		}
+	}
+
+	for range 100 {
+		b = b.WithFailure()
+	}
+
+	c.Assert(b.Pause() <= 1000, qt.IsTrue)
+	c.Assert(b.WithSuccess().Pause(), qt.Equals, spar.Millis(0))
+}
--- a/gate/decide_test.go
+++ b/gate/decide_test.go
@@ -205,3 +205,27 @@
 	c.Check(part, qt.Equals, keymap.Span{From: 0, To: 199})
 	c.Check(rate > 95 && rate < 105, qt.IsTrue)
 }
+
+// Replays short calls at a server whose downloads take long. Guards against calls being refused because
+// of the time that downloads take: 9 slots of 300 ms leave time for calls of 30 ms within 200 ms.
+func TestQueueKnowsTimesByRank(t *testing.T) {
+	c := qt.New(t)
+	m := &manual{}
+	q := gate.NewQueue(m.clock())
+	q.Resize(9)
+
+	for range 200 {
+		q.Served(2, 300)
+		q.Served(0, 30)
+	}
+
+	for range 9 {
+		_, _ = q.Enter(&gate.Entrant{Priority: 2, Objective: 800, Deadline: 5000})
+	}
+
+	ok, _ := q.Enter(&gate.Entrant{Priority: 0, Objective: 150, Deadline: 150})
+	c.Check(ok, qt.IsTrue)
+
+	ok, _ = q.Enter(&gate.Entrant{Priority: 2, Objective: 250, Deadline: 5000})
+	c.Check(ok, qt.IsFalse)
+}
--- a/gate/queue.go
+++ b/gate/queue.go
@@ -37,12 +37,14 @@
 	running int
 	waiting []*Entrant
 	arrived int64
+	// service is the mean service time, and ranks has that of each priority.
 	service float64
+	ranks   map[int]float64
 }
 
 // NewQueue returns a queue for one slot.
 func NewQueue(clock spar.Clock) *Queue {
-	return &Queue{clock: clock, slots: 1, service: float64(serviceStart)}
+	return &Queue{clock: clock, slots: 1, service: float64(serviceStart), ranks: map[int]float64{}}
 }
 
 // Resize sets the number of slots.
@@ -60,6 +62,8 @@
 	Running int         `json:"running"`
 	Waiting int         `json:"waiting"`
 	Service spar.Millis `json:"service_ms"`
+	// Link is how long the VM's network link is busy with answers that are promised.
+	Link spar.Millis `json:"link_ms,omitempty"`
 }
 
 // Load returns the load.
@@ -105,7 +109,7 @@
 
 	now := q.clock.Now()
 	wait := spar.Millis(q.service * float64(ahead) / float64(q.slots))
-	end := now + wait + spar.Millis(q.service)
+	end := now + wait + spar.Millis(q.ofRank(e.Priority))
 
 	if end > e.latest() {
 		return false, max(retryLeast, wait)
@@ -153,12 +157,25 @@
 	}
 }
 
-// Served takes the time that the backend server took for a request into the average.
-func (q *Queue) Served(d spar.Millis) {
+// Served takes the time that the backend server took for a request of a rank into the averages.
+func (q *Queue) Served(rank int, d spar.Millis) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 
-	q.service += serviceGain * (math.Max(1, float64(d)) - q.service)
+	took := math.Max(1, float64(d))
+	own := q.ofRank(rank)
+	q.service += serviceGain * (took - q.service)
+	q.ranks[rank] = own + serviceGain*(took-own)
+}
+
+// ofRank is the mean service time of a rank, since calls that a running request makes are much shorter
+// than downloads.
+func (q *Queue) ofRank(rank int) float64 {
+	if own, ok := q.ranks[rank]; ok {
+		return own
+	}
+
+	return q.service
 }
 
 func (q *Queue) start(e *Entrant) {
--- a/gate/run.go
+++ b/gate/run.go
@@ -200,7 +200,7 @@
 	b.cancel()
 	took := b.gate.deps.Clock.Now() - b.start
 	b.gate.deps.Tally.Observe("spar_gate_run_ms", took)
-	b.gate.queue.Served(took)
+	b.gate.queue.Served(b.entrant.Priority, took)
 	b.gate.queue.Leave(b.entrant)
 
 	return err
--- a/owner/lease.go
+++ b/owner/lease.go
@@ -13,18 +13,24 @@
 	until    spar.Millis
 }
 
-// retryPause is the pause after a failed call of the table.
-const retryPause spar.Millis = 150
+const (
+	// retryPause is the pause after a failed change of the map.
+	retryPause spar.Millis = 150
+	// renewPauseFirst and renewPauseMost are the pauses after failed renewals. A lease has to outlast the
+	// table's outage and one such pause.
+	renewPauseFirst spar.Millis = 150
+	renewPauseMost  spar.Millis = 800
+)
 
 // loopLease takes the lease and renews it.
 func (o *Owner) loopLease(ctx context.Context) {
+	backoff := spar.Backoff{First: renewPauseFirst, Most: renewPauseMost}
+
 	for ctx.Err() == nil {
 		o.mu.Lock()
 		held := o.lease.revision != 0
 		o.mu.Unlock()
 
-		pause := o.cfg.RenewEvery
-
 		ok := true
 
 		switch keyed, known := o.deps.Keyed(o.cfg.Service); {
@@ -34,11 +40,13 @@
 			ok = o.renew(ctx)
 		}
 
-		if !ok {
-			pause = retryPause
+		if ok {
+			backoff = backoff.WithSuccess()
+			o.deps.Clock.Sleep(ctx, o.cfg.RenewEvery)
+		} else {
+			backoff = backoff.WithFailure()
+			o.deps.Clock.Sleep(ctx, backoff.Pause())
 		}
-
-		o.deps.Clock.Sleep(ctx, pause)
 	}
 }
 
@@ -109,6 +117,7 @@
 	o.mu.Lock()
 	o.lease = lease{revision: result.Revision, until: sent + o.cfg.LeaseFor}
 	o.mu.Unlock()
+	o.deps.Registered()
 	o.deps.Log.Info("lease taken", "revision", result.Revision, "replaces", row.Revision)
 
 	return true
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -63,6 +63,8 @@
 	Evacuated func(zone string) bool
 	// StoreBack is called when the table answers again.
 	StoreBack func()
+	// Registered is called when this node's row is written.
+	Registered func()
 	// Flaws are set by tests only.
 	Flaws flaw.Set
 }
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -8,11 +8,17 @@
 	"sardinespar.example/spar/owner"
 )
 
+// fleetRound is the pause between two looks at the nodes in the table. It is shorter than the table's
+// history. A node that starts reads the table after its own row is written, and calls all others, so of
+// two nodes at least one finds the other without a look.
+const fleetRound spar.Millis = 15_000
+
 // loopFleet follows the nodes in the table.
 func (r *Relay) loopFleet(ctx context.Context) {
 	f := follower{
-		name: owner.Table, table: r.deps.Table, clock: r.deps.Clock, log: r.deps.Log, all: r.fleetRows, some: r.fleetRows,
-		again: r.fleetAgain,
+		name: owner.Table, prefix: owner.Table + "/", table: r.deps.Table, clock: r.deps.Clock,
+		log: r.deps.Log, all: r.fleetRows, some: r.fleetRows,
+		again: r.fleetAgain, every: fleetRound,
 	}
 	f.loop(ctx)
 }
@@ -60,6 +66,11 @@
 	r.owner.Pull(r.work, s.PeerAddr, s.Service)
 }
 
+// registered makes the fleet's table be read after this node's row is written.
+func (r *Relay) registered() {
+	askAgain(r.fleetAgain)
+}
+
 // storeBack makes both feeds ask again after the store was away.
 func (r *Relay) storeBack() {
 	askAgain(r.operator.again)
--- a/relay/operator.go
+++ b/relay/operator.go
@@ -18,9 +18,11 @@
 	feedWait spar.Millis = 20_000
 	// feedProbe is that time after a failure, so that a store that is silent is asked again soon.
 	feedProbe spar.Millis = 50
-	// feedPause is the pause after a failed question, and rowsTimeout bounds a read of a whole table.
-	feedPause   spar.Millis = 200
+	// rowsTimeout bounds a read of a whole table.
 	rowsTimeout spar.Millis = 1500
+	// feedPauseFirst and feedPauseMost are the pauses after failed questions.
+	feedPauseFirst spar.Millis = 200
+	feedPauseMost  spar.Millis = 1000
 )
 
 // operator holds what operators have written: the rules in force and the zones taken out.
@@ -81,7 +83,7 @@
 // loop follows the operators' table.
 func (o *operator) loop(ctx context.Context) {
 	f := follower{
-		name: o.adapter.OperatorTable(), table: o.table, clock: o.clock, log: o.log,
+		name: o.adapter.OperatorTable(), prefix: o.adapter.OperatorTable() + "//", table: o.table, clock: o.clock, log: o.log,
 		all: o.replace, some: o.apply, again: o.again,
 	}
 	f.loop(ctx)
@@ -147,14 +149,19 @@
 
 // follower follows a table: it reads all rows once, and then the changes.
 type follower struct {
-	name  string
-	table Table
-	clock spar.Clock
-	log   *log.Logger
-	all   func([]spar.Row)
-	some  func([]spar.Row)
+	name string
+	// prefix is that of the rows that are read at first.
+	prefix string
+	table  Table
+	clock  spar.Clock
+	log    *log.Logger
+	all    func([]spar.Row)
+	some   func([]spar.Row)
 	// again is sent to when a change is known to be missing.
 	again <-chan struct{}
+	// every is the pause between two questions, for a table whose changes may come late; 0 has the store
+	// hold the question until there is a change.
+	every spar.Millis
 }
 
 func (f follower) loop(ctx context.Context) {
@@ -163,6 +170,7 @@
 		known bool
 		down  bool
 		wait  = feedWait
+		pause = spar.Backoff{First: feedPauseFirst, Most: feedPauseMost}
 	)
 
 	for ctx.Err() == nil {
@@ -177,7 +185,8 @@
 				f.log.Info("store answers again", "table", f.name, "revision", next)
 			}
 
-			since, known, down = next, true, false
+			since, known, down, pause = next, true, false, pause.WithSuccess()
+			f.rest(ctx)
 		case errors.Is(err, spar.ErrHistoryLost):
 			f.log.Warn("history lost; the table is read anew", "table", f.name, "since", since)
 
@@ -191,19 +200,40 @@
 
 			// A store that was silent may never answer a question from before its return, so the next one
 			// is short.
-			down, wait = true, feedProbe
-			f.clock.Sleep(ctx, feedPause)
+			down, wait, pause = true, feedProbe, pause.WithFailure()
+			f.clock.Sleep(ctx, pause.Pause())
 		}
 	}
 }
 
+// rest waits until the next question is due.
+func (f follower) rest(ctx context.Context) {
+	if f.every <= 0 {
+		return
+	}
+
+	t := f.clock.Timer(f.every)
+	defer t.Stop()
+
+	select {
+	case <-ctx.Done():
+	case <-f.again:
+	case <-t.C:
+	}
+}
+
 // errAgain says that a question was given up because a change is known to be missing.
 var errAgain = errors.New("a change is missing")
 
-// interruptible runs a step until again is sent to.
+// interruptible runs a step until again is sent to. A question that the store does not hold open is
+// short and runs to its end.
 func (f follower) interruptible(
 	ctx context.Context, step func(context.Context) (spar.Revision, error),
 ) (spar.Revision, error) {
+	if f.every > 0 {
+		return step(ctx)
+	}
+
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 
@@ -230,6 +260,10 @@
 
 func (f follower) step(ctx context.Context, since spar.Revision, known bool, wait spar.Millis) (spar.Revision, error) {
 	if known {
+		if f.every > 0 {
+			wait = 0
+		}
+
 		rows, next, err := f.table.Changes(ctx, f.name, since, wait)
 		if err == nil && len(rows) > 0 {
 			f.some(rows)
@@ -241,7 +275,7 @@
 	ctx, cancel := context.WithTimeout(ctx, rowsTimeout.Duration())
 	defer cancel()
 
-	rows, next, err := f.table.Scan(ctx, f.name+"/", 0)
+	rows, next, err := f.table.Scan(ctx, f.prefix, 0)
 	if err == nil {
 		f.all(rows)
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -20,6 +20,7 @@
 	"sardinespar.example/spar/gate"
 	"sardinespar.example/spar/mesh"
 	"sardinespar.example/spar/owner"
+	"sardinespar.example/spar/pace"
 	"sardinespar.example/spar/peers"
 	"sardinespar.example/spar/rules"
 	"sardinespar.example/spar/tally"
@@ -117,10 +118,14 @@
 	pool := conns.New(deps.Dial, deps.Clock, conns.Options{MaxIdle: maxIdle, IdleFor: idleFor})
 	caller := peers.NewPool(deps.Dial, r.traffic)
 
+	const bytesPerMilli = 125 // of one megabit a second
+
+	link := pace.New(deps.Clock, cfg.LinkMbps*bytesPerMilli)
+
 	r.gate = gate.New(gate.Settings{
 		Addr: cfg.App, Names: names, ColdShare: cfg.ColdShare, WholeBytes: int64(cfg.WholeBytes),
 	}, gate.Deps{
-		Clock: deps.Clock, Pool: pool, Log: deps.Log, Tally: deps.Tally, Rules: r.operator.Rules,
+		Clock: deps.Clock, Pool: pool, Link: link, Log: deps.Log, Tally: deps.Tally, Rules: r.operator.Rules,
 		Closed: func() bool { return r.closed.Load() || r.operator.Evacuated(cfg.Zone) },
 	})
 	r.mesh = mesh.New(cfg.Node, mesh.Deps{Clock: deps.Clock, Caller: caller, Log: deps.Log, Self: r.state, Heard: r.heard})
@@ -130,7 +135,7 @@
 		StoreTimeout: cfg.StoreTimeout,
 	}, owner.Deps{
 		Clock: deps.Clock, Table: deps.Table, Maps: r.maps, Gate: r.gate, Mesh: r.mesh, Peers: caller, Log: deps.Log,
-		Keyed: r.operator.Keyed, Evacuated: r.operator.Evacuated, StoreBack: r.storeBack,
+		Keyed: r.operator.Keyed, Evacuated: r.operator.Evacuated, StoreBack: r.storeBack, Registered: r.registered,
 	})
 	r.entry = entry.New(entry.Settings{
 		Node: cfg.Node, Zone: cfg.Zone, Service: cfg.Service, Names: names, BodyBytes: int64(cfg.BodyBytes),
@@ -139,7 +144,7 @@
 		Log: deps.Log, Tally: deps.Tally,
 		Evacuated: r.operator.Evacuated, Closing: r.leaving.Load, Closed: r.closed.Load,
 	})
-	r.inbound = entry.NewInbound(r.gate, deps.Clock, deps.Log, int64(cfg.BodyBytes))
+	r.inbound = entry.NewInbound(r.gate, link, deps.Clock, deps.Log, int64(cfg.BodyBytes))
 	r.mesh.Register(r.mux)
 	r.owner.Register(r.mux)
 
--- a/table/writer.go
+++ b/table/writer.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"math/rand/v2"
 
 	spar "sardinespar.example/spar"
 )
@@ -101,7 +100,7 @@
 func (w *Writer) resolve(ctx context.Context) spar.Commit {
 	resent := false
 
-	for backoff := backoffFirst; ; backoff = min(2*backoff, backoffMost) {
+	for pause := (spar.Backoff{First: backoffFirst, Most: backoffMost}); ; {
 		c := w.table.Commit(ctx, *w.pending)
 		if c.Verdict == spar.Rejected && resent {
 			c = w.readBack(ctx, c)
@@ -122,8 +121,8 @@
 			resent = true
 		}
 
-		wait := backoff/2 + spar.Millis(rand.Float64())*backoff/2
-		if !w.clock.Sleep(ctx, wait) {
+		pause = pause.WithFailure()
+		if !w.clock.Sleep(ctx, pause.Pause()) {
 			return spar.Commit{Verdict: spar.Unknown}
 		}
 	}
