Keep quick failures from attracting requests

Cause: a backend server that fails part of its requests quickly has a short mean service time, and failures multiply only that, so the choice of a node sent it more than its share.

Change: failures add to the cost with at least 150 ms as the base, and the queue takes no service time from failed answers.

--- a/entry/choose.go
+++ b/entry/choose.go
@@ -18,8 +18,10 @@
 	busyWeight = 0.6
 	// looks is the number of candidates that are compared.
 	looks = 3
-	// failWeight is how much a failing backend server counts as slower.
-	failWeight = 10
+	// failWeight is how many times its service time a failing backend server counts as slower, and failLeast
+	// the least service time for that, since failing may be quick.
+	failWeight             = 10
+	failLeast  spar.Millis = 150
 	// failGain is the weight of a new outcome in the share of failures.
 	failGain = 0.15
 	// shunFor is how long a node that could not be reached gets no requests.
@@ -112,13 +114,13 @@
 
 	slots := max(1, c.Load.Slots)
 	busy := float64(max(c.Load.Running+c.Load.Waiting, n.open)) / float64(slots)
-	slower := 1 + busyWeight*busy*busy + failWeight*n.fails
+	slower := 1 + busyWeight*busy*busy
 
 	if busy >= 1 {
 		slower += busy
 	}
 
-	cost := c.Load.Service * spar.Millis(slower)
+	cost := c.Load.Service*spar.Millis(slower) + max(c.Load.Service, failLeast)*spar.Millis(failWeight*n.fails)
 
 	if !c.Near {
 		cost += farCost
--- a/gate/run.go
+++ b/gate/run.go
@@ -35,6 +35,7 @@
 	}
 
 	b := &slotBody{ReadCloser: resp.Body, gate: g, entrant: e, start: start, cancel: cancel}
+	b.failed = resp.StatusCode >= http.StatusInternalServerError
 
 	if g.refusedByServer(resp) {
 		_ = b.Close()
@@ -186,7 +187,9 @@
 	entrant *Entrant
 	start   spar.Millis
 	cancel  func()
-	over    bool
+	// failed says that the backend server answered with a failure, whose time tells nothing of its speed.
+	failed bool
+	over   bool
 }
 
 // Close ends the answer.
@@ -200,7 +203,11 @@
 	b.cancel()
 	took := b.gate.deps.Clock.Now() - b.start
 	b.gate.deps.Tally.Observe("spar_gate_run_ms", took)
-	b.gate.queue.Served(b.entrant.Priority, took)
+
+	if !b.failed {
+		b.gate.queue.Served(b.entrant.Priority, took)
+	}
+
 	b.gate.queue.Leave(b.entrant)
 
 	return err
