Tell peers the changes of a map of owners, and give hot ranges away in one round

Cause: each move of keys sent the whole map, about 45 KB at 300 ranges, to all 73 peers: 3.3 MB over a link of 10 Mbit/s, 2.6 s in which the node answered nobody. Requests were read after their callers had left (GONE), and a hot range took several rounds of moves, each to three nodes at most.

Change: notices hold the changed ranges and the revision that they change; one that comes early waits for its base, and the map is pulled only if no notice brings it within 250 ms. Maps are stored with each owner once and short rows, since a row of the table has room for 64 KiB. A giver finds the level at which it and up to ten receivers end, and rates follow within about a second. A relay drops a request whose caller has left before it was read.

--- a/config/relay.go
+++ b/config/relay.go
@@ -70,9 +70,9 @@
 
 func relayKeepKeys() []Key[Relay] {
 	return []Key[Relay]{
-		millis("keys", "lease_ms", 12_000, 1000, 600_000, "time that a lease lasts after its renewal was sent",
+		millis("keys", "lease_ms", 11_000, 1000, 600_000, "time that a lease lasts after its renewal was sent",
 			func(s *Relay, v spar.Millis) { s.Lease = v }),
-		millis("keys", "renew_ms", 2000, 100, 60_000, "pause between two renewals of the lease",
+		millis("keys", "renew_ms", 1600, 100, 60_000, "pause between two renewals of the lease",
 			func(s *Relay, v spar.Millis) { s.Renew = v }),
 		millis("keys", "hold_ms", 6000, 500, 600_000, "longest grant of keys to the backend server",
 			func(s *Relay, v spar.Millis) { s.Hold = v }),
--- a/conns/conn.go
+++ b/conns/conn.go
@@ -53,9 +53,7 @@
 
 	quiet := false
 	err = raw.Read(func(fd uintptr) bool {
-		var one [1]byte
-
-		_, _, e := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		_, e := peek(fd)
 		quiet = errors.Is(e, syscall.EAGAIN)
 
 		return true
--- a/gate/keyload.go
+++ b/gate/keyload.go
@@ -9,7 +9,7 @@
 )
 
 // keyHalfLife is the time in which a key's count of requests halves.
-const keyHalfLife spar.Millis = 2000
+const keyHalfLife spar.Millis = 1000
 
 // coveredLeast is the least time over which rates are taken, so that the first few requests don't look
 // like many.
--- /dev/null
+++ b/keymap/encode.go
@@ -0,0 +1,88 @@
+package keymap
+
+import (
+	"encoding/json"
+	"fmt"
+
+	spar "sardinespar.example/spar"
+)
+
+// encoded is a map as it is stored and sent: owners once, and ranges as short rows, since a row of the
+// table has room for 64 KiB.
+type encoded struct {
+	Last   int64          `json:"last"`
+	Owners []encodedOwner `json:"owners"`
+	Ranges []encodedRange `json:"ranges"`
+}
+
+type encodedOwner struct {
+	Node string    `json:"node"`
+	Life spar.Life `json:"life"`
+}
+
+// encodedRange is a row of first key, last key, epoch, index of the owner and handover text.
+type encodedRange struct {
+	Span
+
+	epoch    int64
+	owner    int
+	handover string
+}
+
+// MarshalJSON writes the row.
+func (r encodedRange) MarshalJSON() ([]byte, error) {
+	return json.Marshal([]any{r.From, r.To, r.epoch, r.owner, r.handover})
+}
+
+// UnmarshalJSON reads the row.
+func (r *encodedRange) UnmarshalJSON(data []byte) error {
+	return json.Unmarshal(data, &[]any{&r.From, &r.To, &r.epoch, &r.owner, &r.handover})
+}
+
+// MarshalJSON writes the map.
+func (m Map) MarshalJSON() ([]byte, error) {
+	e := encoded{Last: m.Last, Owners: []encodedOwner{}, Ranges: make([]encodedRange, 0, len(m.Ranges))}
+	index := map[encodedOwner]int{}
+
+	for _, r := range m.Ranges {
+		o := encodedOwner{Node: r.Node, Life: r.Life}
+
+		i, ok := index[o]
+		if !ok {
+			i = len(e.Owners)
+			index[o] = i
+			e.Owners = append(e.Owners, o)
+		}
+
+		e.Ranges = append(e.Ranges, encodedRange{Span: r.Span, epoch: r.Epoch, owner: i, handover: r.Handover})
+	}
+
+	return json.Marshal(e)
+}
+
+// UnmarshalJSON reads a map and checks that its ranges are in order and have owners.
+func (m *Map) UnmarshalJSON(data []byte) error {
+	var e encoded
+	if err := json.Unmarshal(data, &e); err != nil {
+		return err
+	}
+
+	next := Map{Last: e.Last}
+	free := 0
+
+	for _, r := range e.Ranges {
+		if r.From < free || r.To < r.From || r.To >= Keys || r.owner < 0 || r.owner >= len(e.Owners) {
+			return fmt.Errorf("range %d to %d is out of order or has no owner", r.From, r.To)
+		}
+
+		free = r.To + 1
+		o := e.Owners[r.owner]
+		next.Ranges = append(next.Ranges, Range{
+			Span: r.Span, Epoch: r.epoch, Node: o.Node, Life: o.Life, Handover: r.handover,
+		})
+	}
+
+	*m = next
+
+	return nil
+}
--- a/keymap/map.go
+++ b/keymap/map.go
@@ -49,14 +49,21 @@
 
 // Find returns the range of a key.
 func (m Map) Find(key int) (Range, bool) {
-	i := sort.Search(len(m.Ranges), func(i int) bool { return m.Ranges[i].To >= key })
-	if i == len(m.Ranges) || m.Ranges[i].From > key {
+	i, ok := m.index(key)
+	if !ok {
 		return Range{}, false
 	}
 
 	return m.Ranges[i], true
 }
 
+// index returns the place of the range of a key.
+func (m Map) index(key int) (int, bool) {
+	i := sort.Search(len(m.Ranges), func(i int) bool { return m.Ranges[i].To >= key })
+
+	return i, i < len(m.Ranges) && m.Ranges[i].From <= key
+}
+
 // Of returns the ranges of a node.
 func (m Map) Of(node string) []Range {
 	var own []Range
@@ -122,11 +129,15 @@
 func (m Map) WithOwner(s Span, node string, life spar.Life, handover string) Map {
 	next := m.Without(s)
 	next.Last++
-	r := Range{Span: s, Epoch: next.Last, Node: node, Life: life, Handover: handover}
-	i := sort.Search(len(next.Ranges), func(i int) bool { return next.Ranges[i].From > s.From })
-	next.Ranges = slices.Insert(next.Ranges, i, r)
 
-	return next
+	return next.inserted(Range{Span: s, Epoch: next.Last, Node: node, Life: life, Handover: handover})
+}
+
+// inserted returns m, which has no owner of r's keys, with r.
+func (m Map) inserted(r Range) Map {
+	i := sort.Search(len(m.Ranges), func(i int) bool { return m.Ranges[i].From > r.From })
+
+	return Map{Last: m.Last, Ranges: slices.Insert(slices.Clone(m.Ranges), i, r)}
 }
 
 // WithLife returns m with all ranges of a node given to another life beside it. The new life holds
--- a/keymap/map_test.go
+++ b/keymap/map_test.go
@@ -1,6 +1,9 @@
 package keymap_test
 
 import (
+	"encoding/json"
+	"fmt"
+	"reflect"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -74,3 +77,86 @@
 	c.Assert(keymap.Merged([]keymap.Span{{From: 5, To: 6}, {From: 0, To: 4}, {From: 9, To: 9}}), qt.DeepEquals,
 		[]keymap.Span{{From: 0, To: 6}, {From: 9, To: 9}})
 }
+
+// draw returns a map after some changes of m.
+func draw(t *rapid.T, m keymap.Map, label string) keymap.Map {
+	for range rapid.IntRange(0, 8).Draw(t, label) {
+		from := rapid.IntRange(0, keymap.Keys-1).Draw(t, "from")
+		span := keymap.Span{From: from, To: rapid.IntRange(from, keymap.Keys-1).Draw(t, "to")}
+
+		node := rapid.SampledFrom([]string{"a", "b", "c", ""}).Draw(t, "node")
+		if node == "" {
+			m = m.Without(span)
+
+			continue
+		}
+
+		born := rapid.Int64Range(1, 3).Draw(t, "born")
+		m = m.WithOwner(span, node, spar.Life{ID: node, Born: born}, rapid.SampledFrom([]string{"", "text"}).Draw(t, "text"))
+	}
+
+	return m
+}
+
+// Guards against a change that leads to another map than the one that was written, and against an
+// encoding that loses a part of it.
+func TestChangesAndEncodingKeepTheMap(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		before := draw(t, keymap.Map{}, "before")
+		after := draw(t, before, "after")
+
+		if got := before.With(before.ChangeTo(after)); !reflect.DeepEqual(normal(got), normal(after)) {
+			t.Fatalf("%+v with its change is %+v, not %+v", before, got, after)
+		}
+
+		data, err := json.Marshal(after)
+		if err != nil {
+			t.Fatal(err)
+		}
+
+		var read keymap.Map
+		if err := json.Unmarshal(data, &read); err != nil || !reflect.DeepEqual(normal(read), normal(after)) {
+			t.Fatalf("%s is read as %+v: %v", data, read, err)
+		}
+	})
+}
+
+// normal makes maps without ranges equal.
+func normal(m keymap.Map) keymap.Map {
+	if len(m.Ranges) == 0 {
+		m.Ranges = nil
+	}
+
+	return m
+}
+
+// Guards against a map whose row is too long for the table: 600 ranges take less than 45 KiB.
+func TestEncodingIsShort(t *testing.T) {
+	c := qt.New(t)
+
+	var m keymap.Map
+
+	for i := range 600 {
+		node := fmt.Sprintf("sidecar-dakar-a-%d", i%40)
+		m = m.WithOwner(keymap.Span{From: i * 100, To: i*100 + 99}, node, spar.Life{ID: node, Born: 1781129509000},
+			"7a21d94b36f85c0e")
+	}
+
+	data, err := json.Marshal(m)
+	c.Assert(err, qt.IsNil)
+	c.Check(len(data) < 45<<10, qt.IsTrue, qt.Commentf("%d bytes", len(data)))
+}
+
+// Guards against rows that name ranges in disorder or owners that are missing.
+func TestDecodeRefusesFaults(t *testing.T) {
+	for _, text := range []string{
+		`{"last":1,"owners":[],"ranges":[[0,5,1,0,""]]}`,
+		`{"last":1,"owners":[{"node":"a"}],"ranges":[[5,4,1,0,""]]}`,
+		`{"last":1,"owners":[{"node":"a"}],"ranges":[[0,65536,1,0,""]]}`,
+		`{"last":1,"owners":[{"node":"a"}],"ranges":[[0,5,1,0,""],[5,6,1,0,""]]}`,
+		`{"last":1,"owners":[{"node":"a"}],"ranges":[["x",5,1,0,""]]}`,
+	} {
+		var m keymap.Map
+		qt.Check(t, json.Unmarshal([]byte(text), &m), qt.IsNotNil, qt.Commentf(text))
+	}
+}
--- a/owner/balance.go
+++ b/owner/balance.go
@@ -15,8 +15,10 @@
 	useLeast = 0.45
 	// useGap is the difference of use between two nodes below which no load is moved.
 	useGap = 0.2
-	// moveShare is the part of the even difference that one move takes.
-	moveShare = 0.8
+	// mostReceivers bounds the nodes that get keys in one round.
+	mostReceivers = 10
+	// partLeast is the least part of the wanted rate for which keys are moved.
+	partLeast = 0.25
 	// offerTimeout bounds the question to a receiver.
 	offerTimeout spar.Millis = 300
 )
@@ -67,10 +69,29 @@
 	return float64(service) / second / float64(max(1, slots))
 }
 
-// mostReceivers bounds the nodes that get keys in one round.
-const mostReceivers = 3
+// Room returns how much use each of some nodes should take over from one with a use, so that all end at
+// one level. The nodes' own uses are given from the least on; those above the level get nothing.
+func Room(use float64, uses []float64) []float64 {
+	level := use
+	n := 0
 
-// balance gives keys of an overused backend server to those that are used least, a part to each.
+	for sum := use; n < len(uses) && uses[n] < level; n++ {
+		sum += uses[n]
+		level = sum / float64(n+2)
+	}
+
+	room := make([]float64, 0, n)
+	for _, u := range uses[:n] {
+		if u < level {
+			room = append(room, level-u)
+		}
+	}
+
+	return room
+}
+
+// balance gives keys of an overused backend server to those that are used least, a part to each. A hot
+// range may need many servers, so that one round reaches the level that the load allows.
 func (o *Owner) balance(ctx context.Context) {
 	o.mu.Lock()
 	now := o.deps.Clock.Now()
@@ -82,21 +103,48 @@
 	}
 
 	use := o.Use()
+	if use < useLeast {
+		return
+	}
+
+	moves := o.chooseMoves(ctx, use)
+	if len(moves) == 0 {
+		return
+	}
+
+	o.mu.Lock()
+	o.moves = append(o.moves, moves...)
+	o.lastMove = now
+	o.mu.Unlock()
+}
+
+// chooseMoves returns the spans that other nodes accept.
+func (o *Owner) chooseMoves(ctx context.Context, use float64) []move {
 	targets := o.targets()
+	targets = targets[:min(mostReceivers, len(targets))]
+	uses := make([]float64, 0, len(targets))
+
+	for _, to := range targets {
+		uses = append(uses, to.Use)
+	}
+
 	own := o.deps.Gate.Load()
 
 	var moves []move
 
-	for _, to := range targets[:min(mostReceivers, len(targets))] {
-		if use < useLeast || use-to.Use < useGap {
+	for i, room := range Room(use, uses) {
+		to := targets[i]
+		if use-to.Use < useGap {
 			break
 		}
 
-		rate := moveShare * (use - to.Use) /
-			(perRequest(own.Service, own.Slots) + perRequest(to.Load.Service, to.Load.Slots))
+		rate := room / perRequest(to.Load.Service, to.Load.Slots)
+		if to.Load.Service <= 0 {
+			rate = room / perRequest(own.Service, own.Slots)
+		}
 
 		span, got := o.choose(rate, moves)
-		if got < rate/4 || !o.offer(ctx, to, got) {
+		if got < rate*partLeast || !o.offer(ctx, to, got) {
 			continue
 		}
 
@@ -104,17 +152,9 @@
 			"rate", int(got), "use", use, "its_use", to.Use)
 
 		moves = append(moves, move{Span: span, to: to.Node})
-		use -= got * perRequest(own.Service, own.Slots)
 	}
 
-	if len(moves) == 0 {
-		return
-	}
-
-	o.mu.Lock()
-	o.moves = append(o.moves, moves...)
-	o.lastMove = now
-	o.mu.Unlock()
+	return moves
 }
 
 // offer asks a node to take keys with a rate of requests.
--- a/owner/change.go
+++ b/owner/change.go
@@ -38,7 +38,7 @@
 		})
 
 		if result.Verdict == spar.Applied {
-			o.spread(ctx, versioned{Revision: result.Revision, Map: next})
+			o.spread(ctx, base, versioned{Revision: result.Revision, Map: next})
 
 			return true
 		}
@@ -60,10 +60,12 @@
 	return false
 }
 
-// spread tells all peers a map that was just written; the table's feed brings it to those that miss it.
-func (o *Owner) spread(ctx context.Context, v versioned) {
+// spread tells all peers what was just written; those that miss it pull the map from a peer.
+func (o *Owner) spread(ctx context.Context, base, v versioned) {
 	o.adopt(o.cfg.Service, v)
-	o.deps.Mesh.Broadcast(context.WithoutCancel(ctx), methodMap, mapNotice{versioned: v, Service: o.cfg.Service})
+	o.deps.Mesh.Broadcast(context.WithoutCancel(ctx), methodMap, mapNotice{
+		Service: o.cfg.Service, Base: base.Revision, Revision: v.Revision, Change: base.Map.ChangeTo(v.Map),
+	})
 }
 
 // leased demands that this node's lease is the one it knows.
--- a/owner/lease.go
+++ b/owner/lease.go
@@ -19,7 +19,7 @@
 	// renewPauseFirst and renewPauseMost are the pauses after failed renewals. A lease has to outlast the
 	// table's outage and one such pause.
 	renewPauseFirst spar.Millis = 150
-	renewPauseMost  spar.Millis = 800
+	renewPauseMost  spar.Millis = 300
 )
 
 // loopLease takes the lease and renews it.
--- a/owner/maps.go
+++ b/owner/maps.go
@@ -13,11 +13,16 @@
 	mu      sync.Mutex
 	byName  map[string]versioned
 	changed chan struct{}
+	// early are notices whose base has not come yet, by their base's revision, which no two maps share.
+	early map[spar.Revision]mapNotice
 }
 
+// mostEarly bounds the notices that wait for their base.
+const mostEarly = 32
+
 // NewMaps returns no maps.
 func NewMaps() *Maps {
-	return &Maps{byName: map[string]versioned{}, changed: make(chan struct{})}
+	return &Maps{byName: map[string]versioned{}, changed: make(chan struct{}), early: map[spar.Revision]mapNotice{}}
 }
 
 // Find returns the owner of a service's key.
@@ -58,6 +63,10 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 
+	return m.putLocked(service, v)
+}
+
+func (m *Maps) putLocked(service string, v versioned) bool {
 	if v.Revision <= m.byName[service].Revision {
 		return false
 	}
@@ -66,9 +75,38 @@
 	close(m.changed)
 	m.changed = make(chan struct{})
 
+	if n, ok := m.early[v.Revision]; ok && n.Service == service {
+		delete(m.early, v.Revision)
+		m.putLocked(service, n.after(v))
+	}
+
 	return true
 }
 
+// change takes a notice. One whose base has not come yet waits for it.
+func (m *Maps) change(n mapNotice) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+
+	known := m.byName[n.Service]
+
+	switch {
+	case n.Base == known.Revision:
+		return m.putLocked(n.Service, n.after(known))
+	case n.Base > known.Revision && len(m.early) < mostEarly:
+		m.early[n.Base] = n
+	case n.Base > known.Revision:
+		clear(m.early)
+	}
+
+	return false
+}
+
+// after returns the map that a notice leads to.
+func (n mapNotice) after(base versioned) versioned {
+	return versioned{Revision: n.Revision, Map: base.Map.With(n.Change)}
+}
+
 // decodeMap reads the row of a map.
 func decodeMap(row spar.Row) (versioned, error) {
 	v := versioned{Revision: row.Revision}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -126,7 +126,7 @@
 // Register adds the owner's methods to a mux.
 func (o *Owner) Register(mux *peers.Mux) {
 	peers.Handle(mux, methodMap, func(_ context.Context, p mapNotice) (struct{}, error) {
-		o.adopt(p.Service, p.versioned)
+		o.log(p.Service, o.deps.Maps.change(p))
 
 		return struct{}{}, nil
 	})
@@ -143,11 +143,13 @@
 	})
 }
 
-// mapNotice tells a peer a map that was just written.
+// mapNotice tells a peer what was just written to a map. The whole map would fill the links of a fleet.
 type mapNotice struct {
-	versioned
-
 	Service string `json:"service"`
+	// Base is the revision of the map that the change is of.
+	Base     spar.Revision `json:"base"`
+	Revision spar.Revision `json:"revision"`
+	Change   keymap.Change `json:"change"`
 }
 
 // mapRequest asks a peer for its map of a service.
@@ -172,10 +174,18 @@
 
 // adopt takes a map that was read or told.
 func (o *Owner) adopt(service string, v versioned) {
-	if o.deps.Maps.put(service, v) {
-		o.deps.Log.Info("map of owners", "service", service, "revision", v.Revision, "ranges", len(v.Map.Ranges),
-			"own", len(v.Map.Of(o.cfg.Node)))
+	o.log(service, o.deps.Maps.put(service, v))
+}
+
+// log tells of a newer map.
+func (o *Owner) log(service string, changed bool) {
+	if !changed {
+		return
 	}
+
+	v := o.deps.Maps.get(service)
+	o.deps.Log.Info("map of owners", "service", service, "revision", v.Revision, "ranges", len(v.Map.Ranges),
+		"own", len(v.Map.Of(o.cfg.Node)))
 }
 
 // Leased reports whether the node's lease holds.
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -59,11 +59,20 @@
 	}
 }
 
-// runPull takes a newer map from a peer, one at a time.
+// pullDelay is how long the notice of a change may take before the whole map is pulled instead.
+const pullDelay spar.Millis = 250
+
+// runPull takes a newer map from a peer, one at a time, if no notice brings it.
 func (r *Relay) runPull(s mesh.State) {
 	defer r.pulling.Store(false)
 
-	r.owner.Pull(r.work, s.PeerAddr, s.Service)
+	if r.maps.Revision(s.Service) != 0 && !r.deps.Clock.Sleep(r.work, pullDelay) {
+		return
+	}
+
+	if r.maps.Revision(s.Service) < s.MapRevision {
+		r.owner.Pull(r.work, s.PeerAddr, s.Service)
+	}
 }
 
 // registered makes the fleet's table be read after this node's row is written.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -227,16 +227,21 @@
 func (r *Relay) server(h http.Handler) *http.Server {
 	return &http.Server{
 		Handler: h, ReadHeaderTimeout: headerTimeout.Duration(), IdleTimeout: idleTimeout.Duration(),
-		MaxHeaderBytes: headerBytes, ErrorLog: r.deps.Log.StandardLog(),
+		MaxHeaderBytes: headerBytes, ErrorLog: r.deps.Log.StandardLog(), ConnContext: conns.WithConn,
 	}
 }
 
-// counted counts the requests under way.
+// counted counts the requests under way. A request whose caller left while it waited unread is dropped.
 func (r *Relay) counted(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		r.active.Add(1)
 		defer r.active.Add(-1)
 
+		if conns.Left(req.Context()) {
+			r.deps.Tally.Count("spar_relay_left_unread_total")
+			panic(http.ErrAbortHandler)
+		}
+
 		h.ServeHTTP(w, req)
 	})
 }
