--- a/entry/choose_test.go
+++ b/entry/choose_test.go
@@ -19,7 +19,8 @@
 const (
 	entries = 12
 	slots   = 9
-	work    = 60 * spar.Millis(1)
+	// work is the mean time of a request at a server of usual speed.
+	work spar.Millis = 60
 	// tellEvery is the pause after which a node hears a load that no answer told it.
 	tellEvery spar.Millis = 1000
 	length    spar.Millis = 20_000
@@ -82,7 +83,7 @@
 	for e := range entries {
 		w.trackers = append(w.trackers, entry.NewTracker())
 
-		var view []entry.Candidate
+		view := make([]entry.Candidate, 0, len(w.servers))
 		for i := range w.servers {
 			view = append(view, entry.Candidate{Node: fmt.Sprint("n", i), Near: (e+i)%3 == 0})
 		}
