--- a/owner/owner.go
+++ b/owner/owner.go
@@ -126,7 +126,7 @@
 // Register adds the owner's methods to a mux.
 func (o *Owner) Register(mux *peers.Mux) {
 	peers.Handle(mux, methodMap, func(_ context.Context, p mapNotice) (struct{}, error) {
-		o.log(p.Service, o.deps.Maps.change(p))
+		o.logMap(p.Service, o.deps.Maps.change(p))
 
 		return struct{}{}, nil
 	})
@@ -174,11 +174,11 @@
 
 // adopt takes a map that was read or told.
 func (o *Owner) adopt(service string, v versioned) {
-	o.log(service, o.deps.Maps.put(service, v))
+	o.logMap(service, o.deps.Maps.put(service, v))
 }
 
-// log tells of a newer map.
-func (o *Owner) log(service string, changed bool) {
+// logMap tells of a newer map.
+func (o *Owner) logMap(service string, changed bool) {
 	if !changed {
 		return
 	}
