--- a/gate/gate.go
+++ b/gate/gate.go
@@ -148,9 +148,11 @@
 
 	u, l, now := g.Upstream(), g.Load(), g.deps.Clock.Now()
 	g.deps.Log.Warn("request not run to its end", "id", req.ID, "outcome", r.Outcome, "reason", r.Reason,
-		"key", req.Key, "instance", u.Life.ID, "wanted", req.Life, "ready", u.Ready, "cold", u.Cold(now),
+		"rank", req.Priority, "key", req.Key, "instance", u.Life.ID, "wanted", req.Life, "ready", u.Ready,
+		"cold", u.Cold(now),
 		"hold_left_ms", int(u.HoldLeft(req.Key, now)), "running", l.Running, "waiting", l.Waiting,
-		"service_ms", int(l.Service), "left_ms", int(req.Deadline-now), "detail", r.Detail, "left_out", left)
+		"service_ms", int(l.Service), "objective_left_ms", int(req.Objective-now), "left_ms", int(req.Deadline-now),
+		"detail", r.Detail, "left_out", left)
 }
 
 func (g *Gate) serve(ctx context.Context, req Request) Result {
