Add failing tests for old rules on full links and for calls that are shed

TestNewsBreakOffAnswerOnItsWay: a question that the store has begun to answer is given up for a peer's news, and no new connection can be opened; the version never comes. TestCallsShedBehindLongerWork: a call of 40 ms with 450 ms left is refused behind orders of 200 ms of the same rank.

--- a/Makefile
+++ b/Makefile
@@ -4,14 +4,22 @@
 MODULES := . $(wildcard cmd/*) $(wildcard system)
 PROGRAMS := $(notdir $(wildcard cmd/*))
 
-.PHONY: build test lint fmt tools demo measure clean
+# Tests that stand in KNOWN-RED.txt as "- TestName (./package)". They run apart and don't decide.
+KNOWN_RED := ^($(shell sed -n 's/^- \(Test[A-Za-z0-9]*\) .*/\1/p' KNOWN-RED.txt | paste -sd '|'))$$
+
+.PHONY: known-red build test lint fmt tools demo measure clean
 
 build:
 	@mkdir -p bin
 	@for p in $(PROGRAMS); do go build -o bin/$$p ./cmd/$$p || exit 1; done
 
 test:
-	@for m in $(MODULES); do (cd $$m && go test -race -timeout 8m ./...) || exit 1; done
+	@for m in $(MODULES); do (cd $$m && go test -race -timeout 8m -skip '$(KNOWN_RED)' ./...) || exit 1; done
+
+known-red:
+	@sed -n 's/^- \(Test[A-Za-z0-9]*\) (\(.*\)).*/\2 \1/p' KNOWN-RED.txt | while read -r pkg name; do \
+		(cd "$$(dirname "$$pkg")" && go test -race -timeout 8m -run "^$$name$$" "./$$(basename "$$pkg")") || \
+		echo "$$name is known to be red"; done
 
 tools:
 	@test -x $(GOBIN)/golangci-lint && $(GOBIN)/golangci-lint version 2>/dev/null | grep -q $(LINT_VERSION:v%=%) || \
--- a/follow/follower_test.go
+++ b/follow/follower_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"sync/atomic"
 	"testing"
@@ -25,8 +26,13 @@
 	changed chan struct{}
 	newest  atomic.Int64
 	scans   atomic.Int64
+	// unreachable says that no new connection can be opened, as over a full link.
+	unreachable atomic.Bool
 }
 
+// errUnreachable is the failure of a read that needs a new connection.
+var errUnreachable = errors.New("connect: i/o timeout")
+
 func newTable(transfer time.Duration) *slowTable {
 	t := &slowTable{transfer: transfer, changed: make(chan struct{}, 1)}
 	t.newest.Store(4)
@@ -51,6 +57,10 @@
 func (t *slowTable) Scan(ctx context.Context, _ string, _ spar.Revision) ([]spar.Row, spar.Revision, error) {
 	t.scans.Add(1)
 
+	if t.unreachable.Load() {
+		return nil, 0, errUnreachable
+	}
+
 	return t.send(ctx)
 }
 
@@ -115,6 +125,26 @@
 	})
 }
 
+// Guards against news of a peer breaking off an answer that is on its way, while the link is too full to
+// open another connection.
+func TestNewsBreakOffAnswerOnItsWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := newTable(400 * time.Millisecond)
+		f, newest := started(t, table)
+		table.unreachable.Store(true)
+
+		table.newest.Store(8)
+		table.changed <- struct{}{}
+
+		for range 20 {
+			time.Sleep(25 * time.Millisecond)
+			f.Again()
+		}
+
+		qt.Check(t, newest.Load(), qt.Equals, int64(8))
+	})
+}
+
 // Guards against a held question to a store that was silent, which keeps a node on old rules though a
 // peer knows newer ones.
 func TestAgainInterruptsHeldQuestion(t *testing.T) {
--- a/gate/decide_test.go
+++ b/gate/decide_test.go
@@ -229,3 +229,33 @@
 	ok, _ = q.Enter(&gate.Entrant{Priority: 2, Objective: 250, Deadline: 5000})
 	c.Check(ok, qt.IsFalse)
 }
+
+// Guards against a call that running work needs being shed behind longer work of its own rank.
+func TestCallsShedBehindLongerWork(t *testing.T) {
+	c := qt.New(t)
+	m := &manual{}
+	q := gate.NewQueue(m.clock())
+	q.Resize(9)
+
+	for range 200 {
+		q.Served(1, 200)
+		q.Served(1, 40)
+	}
+
+	var orders []*gate.Entrant
+
+	for range 15 {
+		e := &gate.Entrant{Priority: 1, Objective: 800, Deadline: 2500}
+		ok, _ := q.Enter(e)
+		c.Assert(ok, qt.IsTrue)
+
+		orders = append(orders, e)
+	}
+
+	call := &gate.Entrant{Priority: 1, Objective: 150, Deadline: 450}
+	ok, _ := q.Enter(call)
+	c.Assert(ok, qt.IsTrue)
+
+	q.Leave(orders[0])
+	c.Check(turn(call), qt.IsTrue)
+}
