Keep the held question to the store while the table is read beside it

Cause: a peer's packet that tells a newer version comes before the store's answer. The question that the store held, whose answer was on its way, was given up with its connection, and the whole table was asked for over a new one. Over a full link a new connection is not opened within its 0.5 s, and the next version found the node in the same state. Class of fault: a retry that throws away work which is nearly done, under the load that makes the work slow.

Change: the question stays open, the whole table is read beside it, the first answer counts, and a read that fails changes nothing.

--- a/follow/follower.go
+++ b/follow/follower.go
@@ -94,29 +94,27 @@
 	}
 
 	for ctx.Err() == nil {
-		next, err := f.ask(ctx, at)
+		a := f.ask(ctx, at)
 		at.wait = heldWait
 
 		switch {
-		case err == nil:
+		case a.err == nil:
 			if down {
-				f.deps.Log.Info("store answers again", "table", f.cfg.Name, "revision", next)
+				f.deps.Log.Info("store answers again", "table", f.cfg.Name, "revision", a.revision)
 			}
 
-			at.revision, at.whole = max(at.revision, next), f.cfg.Every <= 0
+			f.take(a)
+			at.revision, at.whole = max(at.revision, a.revision), f.cfg.Every <= 0
 			down, pause = false, pause.WithSuccess()
 			f.rest(ctx)
-		case errors.Is(err, spar.ErrHistoryLost):
+		case errors.Is(a.err, spar.ErrHistoryLost):
 			f.deps.Log.Warn("changes can't be had; the table is read anew", "table", f.cfg.Name, "since", at.revision,
-				"cause", err)
+				"cause", a.err)
 
-			at.whole = false
-		case errors.Is(err, errAgain):
-			// The rows themselves leave out the versions in between, which may be long.
 			at.whole = false
 		default:
 			if !down && ctx.Err() == nil {
-				f.deps.Log.Warn("store does not answer", "table", f.cfg.Name, "cause", err)
+				f.deps.Log.Warn("store does not answer", "table", f.cfg.Name, "cause", a.err)
 			}
 
 			// A store that was silent may never answer a question from before its return, so the next one
@@ -127,6 +125,25 @@
 	}
 }
 
+// answer is what a question to the table brought.
+type answer struct {
+	rows     []spar.Row
+	revision spar.Revision
+	// whole says that the rows are the whole table, and not changes.
+	whole bool
+	err   error
+}
+
+// take passes the rows of an answer on.
+func (f *Follower) take(a answer) {
+	switch {
+	case a.whole:
+		f.deps.All(a.rows)
+	case len(a.rows) > 0:
+		f.deps.Some(a.rows)
+	}
+}
+
 // awaitCall waits for the first call of Again.
 func (f *Follower) awaitCall(ctx context.Context) bool {
 	select {
@@ -153,23 +170,20 @@
 	}
 }
 
-// ask reads what is missing. Only a question that the store holds open is given up for Again: a read
-// that was begun for it would otherwise never end over a slow link, since each peer that knows more
-// calls for another one.
-func (f *Follower) ask(ctx context.Context, at position) (spar.Revision, error) {
-	if !at.whole {
+// ask reads what is missing.
+func (f *Follower) ask(ctx context.Context, at position) answer {
+	switch {
+	case !at.whole:
 		f.forgetCalls()
 
 		return f.scan(ctx)
-	}
-
-	if at.wait <= probeWait {
+	case at.wait <= probeWait:
 		f.forgetCalls()
 
 		return f.changes(ctx, at)
+	default:
+		return f.hold(ctx, at)
 	}
-
-	return f.interruptible(ctx, at)
 }
 
 // forgetCalls drops a call of Again that the read to come answers.
@@ -180,52 +194,17 @@
 	}
 }
 
-func (f *Follower) changes(ctx context.Context, at position) (spar.Revision, error) {
+func (f *Follower) changes(ctx context.Context, at position) answer {
 	rows, next, err := f.deps.Table.Changes(ctx, f.cfg.Name, at.revision, at.wait)
-	if err == nil && len(rows) > 0 {
-		f.deps.Some(rows)
-	}
 
-	return next, err
+	return answer{rows: rows, revision: next, err: err}
 }
 
-func (f *Follower) scan(ctx context.Context) (spar.Revision, error) {
+func (f *Follower) scan(ctx context.Context) answer {
 	ctx, cancel := context.WithTimeout(ctx, scanTimeout.Duration())
 	defer cancel()
 
 	rows, next, err := f.deps.Table.Scan(ctx, f.cfg.Prefix, 0)
-	if err == nil {
-		f.deps.All(rows)
-	}
 
-	return next, err
-}
-
-// errAgain says that a question was given up because a change is known to be missing.
-var errAgain = errors.New("a change is missing")
-
-// interruptible asks for changes until Again is called.
-func (f *Follower) interruptible(ctx context.Context, at position) (spar.Revision, error) {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-
-	done := make(chan struct{})
-	defer close(done)
-
-	go f.runInterrupt(done, cancel)
-
-	next, err := f.changes(ctx, at)
-	if err != nil && errors.Is(context.Cause(ctx), errAgain) {
-		err = errAgain
-	}
-
-	return next, err
-}
-
-func (f *Follower) runInterrupt(done <-chan struct{}, cancel context.CancelCauseFunc) {
-	select {
-	case <-done:
-	case <-f.again:
-		cancel(errAgain)
-	}
+	return answer{rows: rows, revision: next, whole: true, err: err}
 }
