Order a backend server's queue by objective, and know service times by class

Cause: calls that running work needs (39 ms, objective 150 ms) have the rank of the orders (200 ms) that they wait behind. The queue took one mean time for both and served by arrival, so it refused the calls, though 260 to 410 ms of their time were left; one that came late to a second server was refused at once. The work that needed them failed after most of it had run. Class of fault: admission that counts one kind of work by the cost of another.

Evidence: 317 refused calls of rank 1 without time left of the objective in the first second.

Change: within a rank the earliest objective goes first; means are kept by rank and kind; a request that is late on arrival waits for two of its service times at most, behind those in time.

Measured: go test ./gate -run Behind failed before, passes now.

--- a/gate/decide_test.go
+++ b/gate/decide_test.go
@@ -10,6 +10,7 @@
 	"sardinespar.example/spar/gate"
 	"sardinespar.example/spar/internal/prop"
 	"sardinespar.example/spar/keymap"
+	"sardinespar.example/spar/rules"
 )
 
 // TestMain fixes rapid's seed and checks.
@@ -215,8 +216,8 @@
 	q.Resize(9)
 
 	for range 200 {
-		q.Served(2, 300)
-		q.Served(0, 30)
+		q.Served(gate.Class{Priority: 2}, 300)
+		q.Served(gate.Class{Priority: 0}, 30)
 	}
 
 	for range 9 {
@@ -238,24 +239,60 @@
 	q.Resize(9)
 
 	for range 200 {
-		q.Served(1, 200)
-		q.Served(1, 40)
+		q.Served(gate.Class{Priority: 1, Kind: rules.Unsafe}, 200)
+		q.Served(gate.Class{Priority: 1, Kind: rules.Safe}, 40)
 	}
 
-	var orders []*gate.Entrant
+	orders := make([]*gate.Entrant, 0, 15)
 
-	for range 15 {
-		e := &gate.Entrant{Priority: 1, Objective: 800, Deadline: 2500}
+	for range cap(orders) {
+		e := &gate.Entrant{Priority: 1, Kind: rules.Unsafe, Objective: 800, Deadline: 2500}
 		ok, _ := q.Enter(e)
 		c.Assert(ok, qt.IsTrue)
 
 		orders = append(orders, e)
 	}
 
-	call := &gate.Entrant{Priority: 1, Objective: 150, Deadline: 450}
+	call := &gate.Entrant{Priority: 1, Kind: rules.Safe, Objective: 150, Deadline: 450}
 	ok, _ := q.Enter(call)
 	c.Assert(ok, qt.IsTrue)
 
 	q.Leave(orders[0])
 	c.Check(turn(call), qt.IsTrue)
 }
+
+// Guards against a call that comes to its second server after its objective being refused at once, and
+// against late requests that take slots from those in time or wait in vain.
+func TestLateRequestsWaitBrieflyBehindOthers(t *testing.T) {
+	c := qt.New(t)
+	m := &manual{now: 1000}
+	q := gate.NewQueue(m.clock())
+	q.Resize(2)
+
+	enter := func(objective spar.Millis) (*gate.Entrant, bool) {
+		e := &gate.Entrant{Priority: 1, Objective: objective, Deadline: 1500}
+		ok, _ := q.Enter(e)
+
+		return e, ok
+	}
+
+	first, _ := enter(1400)
+	second, _ := enter(1400)
+	late, ok := enter(900)
+	c.Assert(ok, qt.IsTrue)
+
+	inTime, ok := enter(1400)
+	c.Assert(ok, qt.IsTrue)
+
+	q.Leave(first)
+	c.Check(turn(inTime), qt.IsTrue)
+	c.Check(turn(late), qt.IsFalse)
+	q.Leave(second)
+	c.Check(turn(late), qt.IsTrue)
+
+	for range 20 {
+		_, ok = enter(900)
+	}
+
+	c.Check(ok, qt.IsFalse)
+}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -165,7 +165,7 @@
 		return r
 	}
 
-	e := &Entrant{Priority: req.Priority, Objective: req.Objective, Deadline: req.Deadline}
+	e := &Entrant{Priority: req.Priority, Kind: req.Kind, Objective: req.Objective, Deadline: req.Deadline}
 	if ok, after := g.queue.Enter(e); !ok {
 		return Refused(spar.ReasonShed, after)
 	}
@@ -222,7 +222,7 @@
 	default:
 	}
 
-	t := g.deps.Clock.Timer(e.latest() - g.deps.Clock.Now())
+	t := g.deps.Clock.Timer(e.latest - g.deps.Clock.Now())
 	defer t.Stop()
 
 	select {
--- a/gate/queue.go
+++ b/gate/queue.go
@@ -5,6 +5,7 @@
 	"sync"
 
 	spar "sardinespar.example/spar"
+	"sardinespar.example/spar/rules"
 )
 
 const (
@@ -14,21 +15,54 @@
 	serviceGain = 0.05
 	// retryLeast is the shortest time after which a refused request may come back.
 	retryLeast spar.Millis = 30
+	// latePatience is how long a request that is late on arrival may wait, in mean service times of its
+	// class. A call that running work needs is still of use then, but no caller is held in vain.
+	latePatience = 2
 )
 
+// Class tells requests apart whose service times differ: calls of running work are much shorter than
+// orders of the same rank or downloads.
+type Class struct {
+	Priority int
+	Kind     rules.Kind
+}
+
 // Entrant is a request that wants a slot.
 type Entrant struct {
 	Priority  int
+	Kind      rules.Kind
 	Objective spar.Millis
 	Deadline  spar.Millis
 	arrival   int64
 	turn      chan struct{}
 	running   bool
+	// late says that the objective had passed on arrival, and latest ends the wait.
+	late   bool
+	latest spar.Millis
+}
+
+func (e *Entrant) class() Class {
+	return Class{Priority: e.Priority, Kind: e.Kind}
+}
+
+// before reports whether e gets a slot before o.
+func (e *Entrant) before(o *Entrant) bool {
+	switch {
+	case e.Priority != o.Priority:
+		return e.Priority < o.Priority
+	case e.late != o.late:
+		return o.late
+	case e.Objective != o.Objective:
+		return e.Objective < o.Objective
+	default:
+		return e.arrival < o.arrival
+	}
 }
 
 // Queue gives a backend server's slots to requests. A higher priority goes first, and within one the
-// earlier arrival. A request that could not meet its objective is refused on arrival, so that under a
-// burst those that wait are still served in time; only a free slot is given to a late one.
+// earlier objective, so that short calls don't wait behind long work whose caller waits longer. A request
+// that could not meet its objective is refused on arrival, so that under a burst those that wait are
+// still served in time; one that is late already waits briefly and behind the others.
 type Queue struct {
 	clock spar.Clock
 
@@ -37,14 +71,14 @@
 	running int
 	waiting []*Entrant
 	arrived int64
-	// service is the mean service time, and ranks has that of each priority.
+	// service is the mean service time, and classes has that of each class.
 	service float64
-	ranks   map[int]float64
+	classes map[Class]float64
 }
 
 // NewQueue returns a queue for one slot.
 func NewQueue(clock spar.Clock) *Queue {
-	return &Queue{clock: clock, slots: 1, service: float64(serviceStart), ranks: map[int]float64{}}
+	return &Queue{clock: clock, slots: 1, service: float64(serviceStart), classes: map[Class]float64{}}
 }
 
 // Resize sets the number of slots.
@@ -100,18 +134,13 @@
 		return true, 0
 	}
 
-	ahead := 1
-	for _, o := range q.waiting {
-		if o.Priority <= e.Priority {
-			ahead++
-		}
-	}
-
 	now := q.clock.Now()
-	wait := spar.Millis(q.service * float64(ahead) / float64(q.slots))
-	end := now + wait + spar.Millis(q.ofRank(e.Priority))
+	own := spar.Millis(q.ofClass(e.class()))
+	e.late = e.Priority > 0 && e.Objective <= now
+	wait := q.waitLocked(e)
+	e.latest = e.latestFrom(now, own)
 
-	if end > e.latest() {
+	if now+wait > e.latest || now+wait+own > e.limit() {
 		return false, max(retryLeast, wait)
 	}
 
@@ -120,16 +149,38 @@
 	return true, 0
 }
 
-// latest is the latest end that is worth a wait. Requests of the highest rank are needed by work that
+// waitLocked estimates how long an entrant waits for a slot.
+func (q *Queue) waitLocked(e *Entrant) spar.Millis {
+	ahead := q.service
+
+	for _, o := range q.waiting {
+		if o.before(e) {
+			ahead += q.ofClass(o.class())
+		}
+	}
+
+	return spar.Millis(ahead / float64(q.slots))
+}
+
+// limit is the latest end that is worth a wait. Requests of the highest rank are needed by work that
 // already runs, so a late answer is worth as much to them as one in time.
-func (e *Entrant) latest() spar.Millis {
-	if e.Priority == 0 {
+func (e *Entrant) limit() spar.Millis {
+	if e.Priority == 0 || e.late {
 		return e.Deadline
 	}
 
 	return min(e.Objective, e.Deadline)
 }
 
+// latestFrom returns the latest start that is worth a wait.
+func (e *Entrant) latestFrom(now, own spar.Millis) spar.Millis {
+	if e.late {
+		return min(now+latePatience*own, e.Deadline)
+	}
+
+	return e.limit()
+}
+
 // Turn is closed when the entrant has a slot.
 func (e *Entrant) Turn() <-chan struct{} {
 	return e.turn
@@ -157,21 +208,20 @@
 	}
 }
 
-// Served takes the time that the backend server took for a request of a rank into the averages.
-func (q *Queue) Served(rank int, d spar.Millis) {
+// Served takes the time that the backend server took for a request of a class into the averages.
+func (q *Queue) Served(c Class, d spar.Millis) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 
 	took := math.Max(1, float64(d))
-	own := q.ofRank(rank)
+	own := q.ofClass(c)
 	q.service += serviceGain * (took - q.service)
-	q.ranks[rank] = own + serviceGain*(took-own)
+	q.classes[c] = own + serviceGain*(took-own)
 }
 
-// ofRank is the mean service time of a rank, since calls that a running request makes are much shorter
-// than downloads.
-func (q *Queue) ofRank(rank int) float64 {
-	if own, ok := q.ranks[rank]; ok {
+// ofClass is the mean service time of a class.
+func (q *Queue) ofClass(c Class) float64 {
+	if own, ok := q.classes[c]; ok {
 		return own
 	}
 
@@ -189,8 +239,7 @@
 	for q.running < q.slots && len(q.waiting) > 0 {
 		best := 0
 		for i, e := range q.waiting {
-			b := q.waiting[best]
-			if e.Priority < b.Priority || e.Priority == b.Priority && e.arrival < b.arrival {
+			if e.before(q.waiting[best]) {
 				best = i
 			}
 		}
--- a/gate/run.go
+++ b/gate/run.go
@@ -205,7 +205,7 @@
 	b.gate.deps.Tally.Observe("spar_gate_run_ms", took)
 
 	if !b.failed {
-		b.gate.queue.Served(b.entrant.Priority, took)
+		b.gate.queue.Served(b.entrant.class(), took)
 	}
 
 	b.gate.queue.Leave(b.entrant)
