Count all that a node sends on its link, not only the bodies of answers

Cause: downloads may take 85 % of the link, less the bodies of short answers. Headers, requests to other nodes, states and control messages were not counted. Under load they take more than the rest of the link, so the link's queue grows without end, and all control waits behind downloads. Class of fault: a budget that leaves out what else draws on it.

Change: connections to other machines, accepted ones of peers and packets count what they send; answers between nodes count a header. Connections to the server on the VM are not counted.

--- a/cmd/spard/relay.go
+++ b/cmd/spard/relay.go
@@ -18,6 +18,7 @@
 	spar "sardinespar.example/spar"
 	"sardinespar.example/spar/config"
 	"sardinespar.example/spar/conns"
+	"sardinespar.example/spar/pace"
 	"sardinespar.example/spar/platform"
 	"sardinespar.example/spar/relay"
 	"sardinespar.example/spar/tally"
@@ -76,13 +77,16 @@
 		Control:         boundSilence,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeEvery, Interval: probeEvery, Count: probeCount},
 	}
-	dial := func(ctx context.Context, addr string) (net.Conn, error) { return dialer.DialContext(ctx, "tcp", addr) }
+	link := pace.New(clock, cfg.LinkMbps*pace.BytesPerMegabit)
+	dial := link.Dialer(func(ctx context.Context, addr string) (net.Conn, error) {
+		return dialer.DialContext(ctx, "tcp", addr)
+	}, cfg.App)
 
 	return relay.New(cfg, relay.Deps{
 		Clock: clock, Wall: func() int64 { return time.Now().UnixMilli() },
 		Table:   platform.NewStore(cfg.Store, conns.New(dial, clock, conns.Options{MaxIdle: storeIdle, IdleFor: idleStore})),
 		Adapter: platform.Adapter{}, Dial: dial, Log: l, Tally: tally.New(), Incarnation: strings.ToLower(rand.Text()[:10]),
-		Packets: packets,
+		Packets: link.Packets(packets), Link: link,
 	}).Run(ctx, ln)
 }
 
--- a/entry/inbound.go
+++ b/entry/inbound.go
@@ -15,6 +15,9 @@
 	"sardinespar.example/spar/rules"
 )
 
+// answerHead is the usual size of an answer's header between nodes in bytes.
+const answerHead = 400
+
 // Inbound serves the requests that other nodes send for the backend server beside this one.
 type Inbound struct {
 	gate      *gate.Gate
@@ -112,6 +115,8 @@
 }
 
 func (i *Inbound) write(w http.ResponseWriter, id string, r gate.Result) {
+	i.link.Note(answerHead)
+
 	h := w.Header()
 	for name, values := range r.Header {
 		h[name] = values
--- a/pace/link.go
+++ b/pace/link.go
@@ -26,6 +26,8 @@
 	pauseLeast spar.Millis = 1
 	// ChunkBytes is the most that is written at once.
 	ChunkBytes = 8 << 10
+	// BytesPerMegabit turns megabits a second into bytes a millisecond.
+	BytesPerMegabit = 125
 )
 
 // Link is the network link of this VM. The link of no rate bounds nothing.
@@ -100,7 +102,7 @@
 	return t, 0, true
 }
 
-// Note counts a short answer, which does not wait.
+// Note counts bytes that don't wait for the link: short answers, requests to other nodes, states.
 func (l *Link) Note(bytes int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -70,7 +70,9 @@
 	Table   Table
 	Adapter Adapter
 	Dial    func(ctx context.Context, addr string) (net.Conn, error)
-	Log     *log.Logger
+	// Link is the VM's network link, which counts what the connections of Dial and Packets send.
+	Link *pace.Link
+	Log  *log.Logger
 	// Tally is served on the metrics address.
 	Tally *tally.Tally
 	// Incarnation is new in each process.
@@ -125,14 +127,10 @@
 	pool := conns.New(deps.Dial, deps.Clock, conns.Options{MaxIdle: maxIdle, IdleFor: idleFor})
 	caller := peers.NewPool(deps.Dial, r.traffic)
 
-	const bytesPerMilli = 125 // of one megabit a second
-
-	link := pace.New(deps.Clock, cfg.LinkMbps*bytesPerMilli)
-
 	r.gate = gate.New(gate.Settings{
 		Addr: cfg.App, Names: names, ColdShare: cfg.ColdShare, WholeBytes: int64(cfg.WholeBytes),
 	}, gate.Deps{
-		Clock: deps.Clock, Pool: pool, Link: link, Log: deps.Log, Tally: deps.Tally, Rules: r.operator.Rules,
+		Clock: deps.Clock, Pool: pool, Link: deps.Link, Log: deps.Log, Tally: deps.Tally, Rules: r.operator.Rules,
 		Closed: func() bool { return r.closed.Load() || r.operator.Evacuated(cfg.Zone) },
 	})
 	r.mesh = mesh.New(cfg.Node, mesh.Deps{
@@ -155,7 +153,7 @@
 		Log: deps.Log, Tally: deps.Tally,
 		Evacuated: r.operator.Evacuated, Closing: r.leaving.Load, Closed: r.closed.Load,
 	})
-	r.inbound = entry.NewInbound(r.gate, link, deps.Clock, deps.Log, int64(cfg.BodyBytes))
+	r.inbound = entry.NewInbound(r.gate, deps.Link, deps.Clock, deps.Log, int64(cfg.BodyBytes))
 	r.mesh.Register(r.mux)
 	r.owner.Register(r.mux)
 
@@ -241,7 +239,7 @@
 }
 
 func (r *Relay) servePeers(ctx context.Context, ln net.Listener) {
-	if err := peers.NewServer(r.mux, r.traffic).Serve(ctx, ln); err != nil {
+	if err := peers.NewServer(r.mux, r.traffic).Serve(ctx, r.deps.Link.Listener(ln)); err != nil {
 		r.deps.Log.Error("control messages are no longer served", "cause", err)
 	}
 }
