Take rules from a peer when the store does not bring them

Cause: a peer's news only made the node ask the store once more. Class of fault: one source for what every peer has.

A version never goes back, whoever it comes from, and is compared under a lock now that it has two sources.

--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -38,9 +38,7 @@
 
 // heard compares a peer's state with this node's: a peer that knows more shows that a feed is stuck.
 func (r *Relay) heard(s mesh.State) {
-	if s.Rules > r.operator.version() {
-		r.operator.feed.Again()
-	}
+	r.hearRules(s)
 
 	if s.MapRevision > r.maps.Revision(s.Service) && r.pulling.CompareAndSwap(false, true) {
 		go r.runPull(s)
--- a/relay/operator.go
+++ b/relay/operator.go
@@ -19,12 +19,21 @@
 	// feed follows the operators' table.
 	feed *follow.Follower
 
-	set atomic.Pointer[rules.Set]
+	force atomic.Pointer[inForce]
+
+	// taking is held while a version is compared and put in force.
+	taking sync.Mutex
 
 	mu  sync.Mutex
 	out map[string]bool
 }
 
+// inForce are the rules in force and the row that holds them.
+type inForce struct {
+	set *rules.Set
+	row spar.Row
+}
+
 func newOperator(deps Deps) *operator {
 	o := &operator{adapter: deps.Adapter, log: deps.Log, out: map[string]bool{}}
 	table := deps.Adapter.OperatorTable()
@@ -37,7 +46,20 @@
 
 // Rules returns the rules in force, or nil.
 func (o *operator) Rules() *rules.Set {
-	return o.set.Load()
+	if f := o.force.Load(); f != nil {
+		return f.set
+	}
+
+	return nil
+}
+
+// row returns the row of the rules in force, or an empty one.
+func (o *operator) row() spar.Row {
+	if f := o.force.Load(); f != nil {
+		return f.row
+	}
+
+	return spar.Row{}
 }
 
 // Keyed reports whether a service is divided by key, and whether that is known.
@@ -108,8 +130,11 @@
 	o.takeRules(rows)
 }
 
-// takeRules takes a newer version of the rules. A version never goes back.
+// takeRules takes a newer version of the rules, from the store or from a peer. A version never goes back.
 func (o *operator) takeRules(rows []spar.Row) {
+	o.taking.Lock()
+	defer o.taking.Unlock()
+
 	for _, r := range rows {
 		set, err := o.adapter.Rules(r)
 		if err != nil {
@@ -118,11 +143,11 @@
 			continue
 		}
 
-		if last := o.set.Load(); set == nil || last != nil && set.Version <= last.Version {
+		if set == nil || set.Version <= o.version() && o.Rules() != nil {
 			continue
 		}
 
-		o.set.Store(set)
+		o.force.Store(&inForce{set: set, row: r})
 		o.log.Info("rules in force", "version", set.Version, "revision", r.Revision)
 	}
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -109,8 +109,11 @@
 	active atomic.Int64
 	// fleet follows the nodes in the table.
 	fleet *follow.Follower
-	// pulling is set while a map is taken from a peer.
-	pulling atomic.Bool
+	// pulling is set while a map is taken from a peer, and catching while rules are.
+	pulling  atomic.Bool
+	catching atomic.Bool
+	news     news
+	caller   *peers.Pool
 	// work ends with the process's own tasks, after the requests under way.
 	work context.Context //nolint:containedctx // Tasks that answer a peer's state have no other context.
 }
@@ -125,7 +128,7 @@
 
 	names := deps.Adapter.Names()
 	pool := conns.New(deps.Dial, deps.Clock, conns.Options{MaxIdle: maxIdle, IdleFor: idleFor})
-	caller := peers.NewPool(deps.Dial, r.traffic)
+	r.caller = peers.NewPool(deps.Dial, r.traffic)
 
 	r.gate = gate.New(gate.Settings{
 		Addr: cfg.App, Names: names, ColdShare: cfg.ColdShare, WholeBytes: int64(cfg.WholeBytes),
@@ -134,7 +137,7 @@
 		Closed: func() bool { return r.closed.Load() || r.operator.Evacuated(cfg.Zone) },
 	})
 	r.mesh = mesh.New(cfg.Node, mesh.Deps{
-		Clock: deps.Clock, Caller: caller, Log: deps.Log, Self: r.state, Heard: r.heard, Packets: deps.Packets,
+		Clock: deps.Clock, Caller: r.caller, Log: deps.Log, Self: r.state, Heard: r.heard, Packets: deps.Packets,
 	})
 	r.owner = owner.New(owner.Settings{
 		Node: cfg.Node, Incarnation: deps.Incarnation, Zone: cfg.Zone, Service: cfg.Service, PeerAddr: cfg.Peer,
@@ -142,7 +145,7 @@
 		HoldMost:     cfg.HoldMax,
 		StoreTimeout: cfg.StoreTimeout, Late: cfg.Late,
 	}, owner.Deps{
-		Clock: deps.Clock, Table: deps.Table, Maps: r.maps, Gate: r.gate, Mesh: r.mesh, Peers: caller, Log: deps.Log,
+		Clock: deps.Clock, Table: deps.Table, Maps: r.maps, Gate: r.gate, Mesh: r.mesh, Peers: r.caller, Log: deps.Log,
 		Orders: r.orders(),
 		Keyed:  r.operator.Keyed, Evacuated: r.operator.Evacuated, StoreBack: r.storeBack, Registered: r.registered,
 	})
@@ -156,6 +159,7 @@
 	r.inbound = entry.NewInbound(r.gate, deps.Link, deps.Clock, deps.Log, int64(cfg.BodyBytes))
 	r.mesh.Register(r.mux)
 	r.owner.Register(r.mux)
+	r.registerRules()
 
 	return r
 }
