Refuse as not run what old rules can't judge

Cause: a node compares its version with those of its peers, and decided by its own all the same. Class of fault: acting on state that is known to be stale.

Change: while a peer has newer rules, a path without a rule is refused as not run instead of not found; 1.5 s after the first news (requests.rules_most_ms), which leaves half a second of the shortest bound of the deployments, all requests are. The line 'request refused: rules are old' and spar_entry_old_rules_total tell.

--- a/config/relay.go
+++ b/config/relay.go
@@ -38,7 +38,9 @@
 	ColdShare  float64
 	WholeBytes int
 	BodyBytes  int
-	Grace      spar.Millis
+	// RulesMost is how long rules are used after a peer has told of newer ones.
+	RulesMost spar.Millis
+	Grace     spar.Millis
 
 	// LinkMbps is the bandwidth of the VM's network link in megabits a second, or 0 if it bounds nothing.
 	LinkMbps float64
@@ -99,6 +101,9 @@
 			func(s *Relay, n int) { s.WholeBytes = n }),
 		integer("requests", "body_bytes", 8<<20, 1, 256<<20, "longest body of a request, if the rules allow no less",
 			func(s *Relay, n int) { s.BodyBytes = n }),
+		millis("requests", "rules_most_ms", 1500, 100, 60_000,
+			"time for which rules are used after a peer has told of newer ones; then requests are refused as not run",
+			func(s *Relay, v spar.Millis) { s.RulesMost = v }),
 		millis("requests", "grace_ms", 5500, 100, 600_000, "time after SIGTERM in which requests under way may end",
 			func(s *Relay, v spar.Millis) { s.Grace = v }),
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -25,6 +25,8 @@
 const (
 	// replyMargin is kept between the end of the work and the caller's deadline, for the way back.
 	replyMargin spar.Millis = 15
+	// oldRulesRetry is when a request comes back that was refused since the rules are old.
+	oldRulesRetry spar.Millis = 300
 	// retryAfterMost bounds the time that a refused caller is sent away for.
 	retryAfterMost spar.Millis = 1000
 )
@@ -38,6 +40,8 @@
 	Names   spar.HeaderNames
 	// BodyBytes bounds a request's body.
 	BodyBytes int64
+	// RulesMost is how long rules are used after a peer has told of newer ones.
+	RulesMost spar.Millis
 }
 
 // Deps are what an entry works with.
@@ -57,6 +61,8 @@
 	Closing func() bool
 	// Closed reports whether new requests are refused, since the process is about to end.
 	Closed func() bool
+	// Behind reports whether peers are known to have newer rules, and for how long.
+	Behind func() (spar.Millis, bool)
 }
 
 // Entry serves callers.
@@ -103,8 +109,21 @@
 		return
 	}
 
+	since, behind := e.deps.Behind()
+	if behind && since > e.cfg.RulesMost {
+		e.refuseOldRules(w, r, set, since)
+
+		return
+	}
+
 	req, rule, bad := e.parse(r, set, arrived)
 	if bad != nil {
+		if behind && bad.status == http.StatusNotFound {
+			e.refuseOldRules(w, r, set, since)
+
+			return
+		}
+
 		e.reject(w, r, *bad)
 
 		return
@@ -276,6 +295,18 @@
 	e.end(w, bad.status, bad.cause)
 }
 
+// refuseOldRules refuses a request that only rules which this node does not have yet can judge.
+func (e *Entry) refuseOldRules(w http.ResponseWriter, r *http.Request, set *rules.Set, since spar.Millis) {
+	e.deps.Tally.Count("spar_entry_" + string(spar.ReasonOldRules) + "_total")
+
+	if left, ok := e.failed.Allow(); ok {
+		e.deps.Log.Warn("request refused: rules are old", "id", r.Header.Get(e.cfg.Names.RequestID),
+			"rules", set.Version, "behind_ms", int(since), "host", r.Host, "path", r.URL.Path, "left_out", left)
+	}
+
+	e.refuse(w, gate.Refused(spar.ReasonOldRules, oldRulesRetry))
+}
+
 // refuse answers a request that no backend server answered. Only a request that has not run gets the
 // status that says so.
 func (e *Entry) refuse(w http.ResponseWriter, result gate.Result) {
--- a/outcome.go
+++ b/outcome.go
@@ -47,6 +47,7 @@
 	ReasonNoLease      Reason = "no_lease"
 	ReasonShed         Reason = "shed"
 	ReasonLeaving      Reason = "leaving"
+	ReasonOldRules     Reason = "old_rules"
 	ReasonDeadline     Reason = "deadline"
 	ReasonBroken       Reason = "broken"
 	ReasonUnreachable  Reason = "unreachable"
--- a/relay/news.go
+++ b/relay/news.go
@@ -66,6 +66,16 @@
 	})
 }
 
+// behind reports whether peers are known to have newer rules, and for how long.
+func (r *Relay) behind() (spar.Millis, bool) {
+	at, ok := r.news.since(r.operator.version())
+	if !ok {
+		return 0, false
+	}
+
+	return r.deps.Clock.Now() - at, true
+}
+
 // hearRules takes the version that a peer has in force. If the store does not bring it, it is asked for
 // at the store and at that peer, since the store may refuse this node.
 func (r *Relay) hearRules(s mesh.State) {
