Join the pipe listeners of two test packages in package fault

route and agent/drain had a network of net.Pipe each. fault.Pipes takes their place; the tests are as they were and pass (go test ./route ./agent/drain).

--- a/agent/drain/move_test.go
+++ b/agent/drain/move_test.go
@@ -169,7 +169,7 @@
 		time.Sleep(2 * time.Second)
 		w.withdraw("b", false)
 		w.awaitMove()
-		w.node("pledges-1").peer.cut()
+		w.node("pledges-1").peer.Cut()
 		w.node("cards-1").stop()
 		<-w.node("cards-1").stopped
 		time.Sleep(4 * time.Second)
@@ -180,7 +180,7 @@
 			s := &scanner{world: w, replica: r}
 			w.wg.Go(s.loop)
 
-			b := plan.NewBalancer(w.view().Nodes()[0].ID, r, peers.NewPool(w.net.dial, &peers.Traffic{}), spar.RuntimeClock())
+			b := plan.NewBalancer(w.view().Nodes()[0].ID, r, peers.NewPool(w.net.Dial, &peers.Traffic{}), spar.RuntimeClock())
 			w.wg.Go(func() { b.Run(w.ctx) })
 		}
 
--- a/agent/drain/network_test.go
+++ b/agent/drain/network_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -15,23 +14,6 @@
 	"sardinespar.example/spar/table"
 )
 
-// network joins dialers and listeners by address over net.Pipe.
-type network struct {
-	mu        sync.Mutex
-	listeners map[string]*listener
-}
-
-type listener struct {
-	network *network
-	addr    string
-	conns   chan net.Conn
-	closed  chan struct{}
-	once    sync.Once
-
-	mu   sync.Mutex
-	open []net.Conn
-}
-
 // wire delays each HTTP request by the time on the wire. A delay in the connections themselves would
 // stop virtual time, since jsonrpc2 and net/http write with a mutex held.
 type wire struct{ *http.Transport }
@@ -42,79 +24,6 @@
 	return w.Transport.RoundTrip(r)
 }
 
-func (n *network) listen(addr string) *listener {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-
-	l := &listener{network: n, addr: addr, conns: make(chan net.Conn), closed: make(chan struct{})}
-	n.listeners[addr] = l
-
-	return l
-}
-
-func (n *network) dial(ctx context.Context, addr string) (net.Conn, error) {
-	n.mu.Lock()
-	l := n.listeners[addr]
-	n.mu.Unlock()
-
-	if l == nil {
-		return nil, errRefused
-	}
-
-	near, far := net.Pipe()
-
-	select {
-	case l.conns <- far:
-		l.mu.Lock()
-		l.open = append(l.open, far)
-		l.mu.Unlock()
-
-		return near, nil
-	case <-l.closed:
-		return nil, errRefused
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	}
-}
-
-func (n *network) transport() *http.Transport {
-	return &http.Transport{
-		MaxIdleConnsPerHost: 64, DisableCompression: true,
-		DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) { return n.dial(ctx, addr) },
-	}
-}
-
-func (l *listener) Accept() (net.Conn, error) {
-	select {
-	case c := <-l.conns:
-		return c, nil
-	case <-l.closed:
-		return nil, net.ErrClosed
-	}
-}
-
-func (l *listener) Close() error {
-	l.once.Do(func() { close(l.closed) })
-
-	return nil
-}
-
-// cut closes the listener and its connections, as the loss of the process does.
-func (l *listener) cut() {
-	_ = l.Close()
-
-	l.mu.Lock()
-	defer l.mu.Unlock()
-
-	for _, c := range l.open {
-		_ = c.Close()
-	}
-}
-
-func (l *listener) Addr() net.Addr {
-	return &net.UnixAddr{Name: l.addr, Net: "pipe"}
-}
-
 // store is a table with faults that remembers who owned which slot at which epoch.
 type store struct {
 	*table.Memory
--- a/agent/drain/world_test.go
+++ b/agent/drain/world_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -12,6 +11,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -20,6 +20,7 @@
 	spar "sardinespar.example/spar"
 	"sardinespar.example/spar/agent"
 	"sardinespar.example/spar/config"
+	"sardinespar.example/spar/fault"
 	"sardinespar.example/spar/fleet"
 	"sardinespar.example/spar/peers"
 	"sardinespar.example/spar/table"
@@ -34,7 +35,7 @@
 
 var services = []string{"cards", "pledges", "shelf"}
 
-var errRefused = errors.New("connection refused")
+var errRefused error = syscall.ECONNREFUSED
 
 // run is one run of a request on a backend server.
 type run struct {
@@ -59,11 +60,11 @@
 	lease       spar.Millis
 	stop        context.CancelFunc
 	stopped     chan struct{}
-	peer, http  *listener
-	local       *listener
+	peer, http  *fault.PipeListener
+	local       *fault.PipeListener
 
 	mu      sync.Mutex
-	back    *listener
+	back    *fault.PipeListener
 	server  *http.Server
 	state   string
 	answers []int
@@ -73,7 +74,7 @@
 // world is a fleet with its table, network, callers and the log of what ran.
 type world struct {
 	t      *testing.T
-	net    *network
+	net    *fault.Pipes
 	store  *store
 	nodes  []*spard
 	client *http.Transport
@@ -99,10 +100,10 @@
 
 // newWorld starts a fleet of two keyed services and one that any upstream may serve.
 func newWorld(t *testing.T, sizes [3]int) *world {
-	n := &network{listeners: map[string]*listener{}}
+	n := fault.NewPipes()
 	w := &world{
 		t: t, net: n, store: &store{Memory: table.NewMemory(), owners: map[string]spar.NodeID{}},
-		client: n.transport(), pool: peers.NewPool(n.dial, &peers.Traffic{}), worst: map[string]time.Duration{},
+		client: n.Transport(), pool: peers.NewPool(n.Dial, &peers.Traffic{}), worst: map[string]time.Duration{},
 	}
 	w.ctx, w.end = context.WithCancel(t.Context())
 
@@ -131,15 +132,15 @@
 		stopped: make(chan struct{}), state: agent.StateUp,
 	}
 	w.nodes = append(w.nodes, n)
-	n.http, n.peer, n.local = w.net.listen(vm+":1"), w.net.listen(vm+":2"), w.net.listen(vm+":3")
+	n.http, n.peer, n.local = w.net.Listen(vm+":1"), w.net.Listen(vm+":2"), w.net.Listen(vm+":3")
 
 	clock := spar.RuntimeClock()
 	a := agent.New(config.Settings{
 		VM: vm, Zone: zone, Region: "r", HTTPAddr: vm + ":1", PeerAddr: vm + ":2", MaxQueue: 100, EventCount: 1000,
 		Admission: config.AdmissionFixed, Picker: config.PickerRoundRobin, RetryBudget: 0.1,
 	}, agent.Deps{
-		Clock: clock, Wall: func() int64 { return time.Now().UnixMilli() }, Table: w.store, Dial: w.net.dial,
-		HTTP: wire{w.net.transport()}, Log: log.New(io.Discard),
+		Clock: clock, Wall: func() int64 { return time.Now().UnixMilli() }, Table: w.store, Dial: w.net.Dial,
+		HTTP: wire{w.net.Transport()}, Log: log.New(io.Discard),
 		Incarnation: n.incarnate,
 		Lease:       func(*fleet.Member) agent.Holder { return held{&n.lease} },
 	})
@@ -177,7 +178,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 
-	n.back, n.server, n.state = n.world.net.listen(n.backAddr()), &http.Server{Handler: n}, agent.StateUp
+	n.back, n.server, n.state = n.world.net.Listen(n.backAddr()), &http.Server{Handler: n}, agent.StateUp
 	server, ln := n.server, n.back
 
 	n.world.wg.Go(func() { _ = server.Serve(ln) })
@@ -188,7 +189,7 @@
 	defer n.mu.Unlock()
 
 	n.state = ""
-	n.back.cut()
+	n.back.Cut()
 	_ = n.server.Close()
 }
 
--- /dev/null
+++ b/fault/pipes.go
@@ -0,0 +1,119 @@
+package fault
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+)
+
+// pipesIdle bounds idle HTTP connections to one address.
+const pipesIdle = 64
+
+// Pipes joins dialers and listeners by address over net.Pipe, in virtual time and without sockets.
+type Pipes struct {
+	mu        sync.Mutex
+	listeners map[string]*PipeListener
+}
+
+// PipeListener takes the connections that are dialed to its address.
+type PipeListener struct {
+	addr   string
+	conns  chan net.Conn
+	closed chan struct{}
+	once   sync.Once
+
+	mu   sync.Mutex
+	open []net.Conn
+}
+
+// NewPipes returns pipes without listeners.
+func NewPipes() *Pipes {
+	return &Pipes{listeners: map[string]*PipeListener{}}
+}
+
+// Listen returns a listener in place of an earlier one at the address.
+func (p *Pipes) Listen(addr string) *PipeListener {
+	l := &PipeListener{addr: addr, conns: make(chan net.Conn), closed: make(chan struct{})}
+
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	p.listeners[addr] = l
+
+	return l
+}
+
+// Dial connects to the listener at an address.
+func (p *Pipes) Dial(ctx context.Context, addr string) (net.Conn, error) {
+	p.mu.Lock()
+	l := p.listeners[addr]
+	p.mu.Unlock()
+
+	if l == nil {
+		return nil, syscall.ECONNREFUSED
+	}
+
+	return l.dial(ctx)
+}
+
+// Transport returns an HTTP transport over the pipes.
+func (p *Pipes) Transport() *http.Transport {
+	return &http.Transport{
+		MaxIdleConnsPerHost: pipesIdle, DisableCompression: true,
+		DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) { return p.Dial(ctx, addr) },
+	}
+}
+
+func (l *PipeListener) dial(ctx context.Context) (net.Conn, error) {
+	near, far := net.Pipe()
+
+	select {
+	case l.conns <- far:
+		l.mu.Lock()
+		defer l.mu.Unlock()
+
+		l.open = append(l.open, near, far)
+
+		return near, nil
+	case <-l.closed:
+		return nil, syscall.ECONNREFUSED
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// Accept returns the next connection.
+func (l *PipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close refuses connections from now on; those that are open stay.
+func (l *PipeListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+
+	return nil
+}
+
+// Cut closes the listener and its connections, as the loss of the process does.
+func (l *PipeListener) Cut() {
+	_ = l.Close()
+
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	for _, c := range l.open {
+		_ = c.Close()
+	}
+}
+
+// Addr returns the address.
+func (l *PipeListener) Addr() net.Addr {
+	return &net.UnixAddr{Name: l.addr, Net: "pipe"}
+}
--- a/route/input_test.go
+++ b/route/input_test.go
@@ -86,7 +86,7 @@
 
 // raw writes text to a node and reads its answer.
 func (w *world) raw(t *testing.T, via int, text string) (int, string) {
-	conn, err := w.net.dial(t.Context(), w.vms[via].http.addr)
+	conn, err := w.net.Dial(t.Context(), w.vms[via].http.addr)
 	qt.Assert(t, err, qt.IsNil)
 
 	defer conn.Close()
--- a/route/world_test.go
+++ b/route/world_test.go
@@ -6,12 +6,14 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	spar "sardinespar.example/spar"
 	"sardinespar.example/spar/admit"
 	"sardinespar.example/spar/crash"
 	"sardinespar.example/spar/event"
+	"sardinespar.example/spar/fault"
 	"sardinespar.example/spar/fleet"
 	"sardinespar.example/spar/guard"
 	"sardinespar.example/spar/peers"
@@ -56,7 +58,7 @@
 
 func (s *store) Get(ctx context.Context, key string) (spar.Row, bool, error) {
 	if s.out.Load() {
-		return spar.Row{}, false, errRefused
+		return spar.Row{}, false, syscall.ECONNREFUSED
 	}
 
 	return s.Table.Get(ctx, key)
@@ -70,9 +72,9 @@
 	guard   *guard.Guard
 	crashes *crash.Quarantine
 	gate    *gate
-	http    *listener
-	peer    *listener
-	back    *listener
+	http    listener
+	peer    listener
+	back    listener
 	backend *backend
 	client  *http.Transport
 	limiter *admit.Fixed
@@ -80,7 +82,7 @@
 
 // world is a few nodes over a network of pipes, and the table.
 type world struct {
-	net    *network
+	net    *fault.Pipes
 	clock  spar.Clock
 	ring   *event.Ring
 	table  *store
@@ -100,11 +102,11 @@
 func newWorld(count int, resume bool) *world {
 	ctx, stop := context.WithCancel(context.Background())
 	w := &world{
-		net: &network{listeners: map[string]*listener{}}, clock: spar.RuntimeClock(), table: &store{Table: table.NewMemory()},
+		net: fault.NewPipes(), clock: spar.RuntimeClock(), table: &store{Table: table.NewMemory()},
 		segment: spar.NewSegment(keyed, 0), stop: stop, revision: 100,
 		ring: event.NewRing(64, func() int64 { return time.Now().UnixMilli() }),
 	}
-	w.caller, w.pool = w.net.transport(), peers.NewPool(w.net.dial, &peers.Traffic{})
+	w.caller, w.pool = w.net.Transport(), peers.NewPool(w.net.Dial, &peers.Traffic{})
 	w.runs.requests, w.runs.tokens = map[string]int{}, map[string]int{}
 
 	for i := range count {
@@ -142,8 +144,8 @@
 	id := spar.NodeID(fmt.Sprintf("vm%d.1", i))
 	self := func() spar.NodeID { return id }
 	v := &vm{
-		id: id, replica: fleet.NewReplica(), lease: &held{clock: w.clock}, client: w.net.transport(),
-		http: w.net.listen(fmt.Sprintf("10.0.0.%d:80", i)), peer: w.net.listen(string(id)),
+		id: id, replica: fleet.NewReplica(), lease: &held{clock: w.clock}, client: w.net.Transport(),
+		http: listen(w.net, fmt.Sprintf("10.0.0.%d:80", i)), peer: listen(w.net, string(id)),
 		backend: &backend{runs: &w.runs, node: i},
 	}
 	v.limiter = admit.NewFixed(w.clock, 100)
@@ -171,7 +173,7 @@
 
 // boot starts the node's backend server.
 func (w *world) boot(v *vm, i int) {
-	v.back = w.net.listen(fmt.Sprintf("10.0.1.%d:80", i))
+	v.back = listen(w.net, fmt.Sprintf("10.0.1.%d:80", i))
 	v.backend.crash = func() { _ = v.back.Close() }
 	l := v.back
 	w.wg.Go(func() { _ = (&http.Server{Handler: v.backend}).Serve(l) })
