--- /dev/null
+++ b/conns/fuzz_test.go
@@ -0,0 +1,56 @@
+package conns_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	spar "sardinespar.example/spar"
+	"sardinespar.example/spar/conns"
+)
+
+// FuzzAnswer guards against bytes of a faulty server that end the process, or that are taken for the
+// answer to a request whose identifier they don't have.
+func FuzzAnswer(f *testing.F) {
+	f.Add([]byte("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nab"))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nId: 2\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n" +
+		"HTTP/1.1 204 X\r\nId: 1\r\n\r\n"))
+	f.Add([]byte("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 101 X\r\n\r\n"))
+
+	f.Fuzz(func(t *testing.T, data []byte) {
+		here, there := net.Pipe()
+
+		go func() {
+			go func() { _, _ = io.Copy(io.Discard, there) }()
+
+			_, _ = there.Write(data)
+			_ = there.Close()
+		}()
+
+		pool := conns.New(func(context.Context, string) (net.Conn, error) { return here, nil }, spar.RuntimeClock(),
+			conns.Options{MaxIdle: 1, IdleFor: 1000})
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+
+		resp, failure := pool.Send(ctx, "a", conns.Request{
+			Method: http.MethodGet, URI: "/", Host: "a", Header: http.Header{},
+			Mine: func(h http.Header) bool { return h.Get("Id") == "1" },
+		})
+		if failure != nil {
+			_ = here.Close()
+
+			return
+		}
+
+		if resp.Header.Get("Id") != "1" {
+			t.Fatalf("answer of %q is taken", resp.Header.Get("Id"))
+		}
+
+		_, _ = io.Copy(io.Discard, resp.Body)
+		_ = resp.Body.Close()
+		_ = here.Close()
+	})
+}
--- /dev/null
+++ b/mesh/fuzz_test.go
@@ -0,0 +1,64 @@
+package mesh_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+
+	"github.com/charmbracelet/log"
+
+	spar "sardinespar.example/spar"
+	"sardinespar.example/spar/mesh"
+)
+
+// onePacket is a port at which one packet arrives.
+type onePacket struct {
+	net.PacketConn
+
+	data []byte
+	read bool
+	// end is called once the packet is read.
+	end func()
+}
+
+// ReadFrom returns the packet, and then that the port is closed.
+func (p *onePacket) ReadFrom(b []byte) (int, net.Addr, error) {
+	if p.read {
+		p.end()
+
+		return 0, nil, net.ErrClosed
+	}
+
+	p.read = true
+
+	return copy(b, p.data), &net.UDPAddr{}, nil
+}
+
+// Close closes the port.
+func (*onePacket) Close() error { return nil }
+
+// FuzzPacket guards against a packet that ends the process or that is taken as a state without a node.
+func FuzzPacket(f *testing.F) {
+	f.Add([]byte(`{"jsonrpc":"2.0","method":"mesh.state","params":{"node":"n2","peer_addr":"10.0.0.2:1","seq":1}}`))
+	f.Add([]byte(`{"jsonrpc":"2.0","method":"mesh.state","params":{"node":"n2"}}`))
+	f.Add([]byte("\x00{"))
+
+	f.Fuzz(func(t *testing.T, data []byte) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+
+		m := mesh.New("n1", mesh.Deps{
+			Clock: spar.RuntimeClock(), Log: log.New(io.Discard), Packets: &onePacket{data: data, end: cancel},
+			Self:  func() mesh.State { return mesh.State{Node: "n1"} },
+			Heard: func(mesh.State) {},
+		})
+		m.Run(ctx)
+
+		for _, p := range m.Peers() {
+			if p.Node == "" || p.PeerAddr == "" {
+				t.Fatalf("state without a node: %+v", p.State)
+			}
+		}
+	})
+}
