Bound the length of messages between nodes

A peer, or whatever has its address by now, could fill a node's memory with one message: jsonrpc2's stream reads until the message ends. Class of fault: a read without a bound.

Ruled out for the others: answers of the store (4 MiB), heartbeats (256 KiB), headers of answers (64 KiB) have bounds; a health check ends after 0.3 s.

Change: a message of over 8 MiB ends its connection. A map of owners takes less than 64 KiB, a row of rules as much.

--- a/peers/peers.go
+++ b/peers/peers.go
@@ -84,8 +84,8 @@
 }
 
 func (s *Server) run(ctx context.Context, conn net.Conn) {
-	stream := jsonrpc2.NewPlainObjectStream(s.count.Conn(conn))
-	rpc := jsonrpc2.NewConn(ctx, stream, jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(s.mux.handle)),
+	messages := newStream(s.count.Conn(conn))
+	rpc := jsonrpc2.NewConn(ctx, messages, jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(s.mux.handle)),
 		stamped(s.stamp)...)
 
 	select {
--- a/peers/pool.go
+++ b/peers/pool.go
@@ -130,8 +130,8 @@
 		return nil, fmt.Errorf("dial %s: %w", addr, err)
 	}
 
-	stream := jsonrpc2.NewPlainObjectStream(p.count.Conn(raw))
-	fresh := jsonrpc2.NewConn(context.WithoutCancel(ctx), stream, noCalls{}, stamped(p.stamp)...)
+	messages := newStream(p.count.Conn(raw))
+	fresh := jsonrpc2.NewConn(context.WithoutCancel(ctx), messages, noCalls{}, stamped(p.stamp)...)
 
 	l, _ := p.take(addr, &link{conn: fresh})
 	if l.conn != fresh {
