--- a/peers/stream_test.go
+++ b/peers/stream_test.go
@@ -22,8 +22,12 @@
 	}
 
 	sent, err := io.WriteString(c, first)
-	for n := 0; err == nil && sent < most; sent += n {
+
+	for err == nil && sent < most {
+		var n int
+
 		n, err = c.Write(chunk)
+		sent += n
 	}
 
 	return sent
