--- a/relay/news.go
+++ b/relay/catchup.go
@@ -13,40 +13,40 @@
 const (
 	// methodRules asks a peer for the row of the rules that it has in force.
 	methodRules = "relay.rules"
-	// newsDelay is how long the store's own answer may come after a peer's news.
-	newsDelay spar.Millis = 250
+	// storeDelay is how long the store's own answer may come after a peer announced a version.
+	storeDelay spar.Millis = 250
 	// rulesTimeout bounds the call of a peer. A row of the greatest size takes 70 ms over 10 Mbit/s.
 	rulesTimeout spar.Millis = 800
 )
 
-// news are the versions of the rules that peers have told and this node lacks.
-type news struct {
+// announcements are the versions of the rules that peers have in force and this node lacks.
+type announcements struct {
 	mu   sync.Mutex
-	list []told
+	list []announcement
 }
 
-// told is a version that a peer was the first to tell.
-type told struct {
+// announcement is when a version was first heard of.
+type announcement struct {
 	version uint64
 	at      spar.Millis
 }
 
 // note takes a version that a peer has in force.
-func (n *news) note(version uint64, now spar.Millis) {
+func (n *announcements) note(version uint64, now spar.Millis) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 
 	if k := len(n.list); k == 0 || n.list[k-1].version < version {
-		n.list = append(n.list, told{version: version, at: now})
+		n.list = append(n.list, announcement{version: version, at: now})
 	}
 }
 
-// since returns when the oldest version above one was told, and whether there is any.
-func (n *news) since(version uint64) (spar.Millis, bool) {
+// since returns when the oldest version above one was announced, and whether there is any.
+func (n *announcements) since(version uint64) (spar.Millis, bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 
-	n.list = slices.DeleteFunc(n.list, func(t told) bool { return t.version <= version })
+	n.list = slices.DeleteFunc(n.list, func(t announcement) bool { return t.version <= version })
 	if len(n.list) == 0 {
 		return 0, false
 	}
@@ -68,7 +68,7 @@
 
 // behind reports whether peers are known to have newer rules, and for how long.
 func (r *Relay) behind() (spar.Millis, bool) {
-	at, ok := r.news.since(r.operator.version())
+	at, ok := r.announced.since(r.operator.version())
 	if !ok {
 		return 0, false
 	}
@@ -83,7 +83,7 @@
 		return
 	}
 
-	r.news.note(s.Rules, r.deps.Clock.Now())
+	r.announced.note(s.Rules, r.deps.Clock.Now())
 
 	if r.catching.CompareAndSwap(false, true) {
 		go r.runCatchUp(s)
@@ -93,7 +93,7 @@
 func (r *Relay) runCatchUp(s mesh.State) {
 	defer r.catching.Store(false)
 
-	if !r.deps.Clock.Sleep(r.work, newsDelay) || s.Rules <= r.operator.version() {
+	if !r.deps.Clock.Sleep(r.work, storeDelay) || s.Rules <= r.operator.version() {
 		return
 	}
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -110,10 +110,10 @@
 	// fleet follows the nodes in the table.
 	fleet *follow.Follower
 	// pulling is set while a map is taken from a peer, and catching while rules are.
-	pulling  atomic.Bool
-	catching atomic.Bool
-	news     news
-	caller   *peers.Pool
+	pulling   atomic.Bool
+	catching  atomic.Bool
+	announced announcements
+	caller    *peers.Pool
 	// work ends with the process's own tasks, after the requests under way.
 	work context.Context //nolint:containedctx // Tasks that answer a peer's state have no other context.
 }
