Add review case 3: a deadly request crashes servers without end

Cause: relays don't remember which requests crash servers, and send a safe one to a second server each time.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# What servers said last arrives after they have started again; a route to their service is added later.
+# A request that crashes each server that runs it comes again and again, at any machine.
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/spard ] && [ -x target/review/stand ] || { echo "run the build of deploy/system.toml and review/build.sh first" >&2; exit 2; }
-exec target/review/stand late "review/3"
+exec target/review/stand deadly "review/3"
--- a/review/stand/upstream.go
+++ b/review/stand/upstream.go
@@ -41,6 +41,10 @@
 	keeps bool
 	// coldFor is how long the server says that it is cold after its start.
 	coldFor time.Duration
+	// deadly is the path of a request that crashes the server when it begins to run it; empty means none.
+	deadly string
+	// onCrash is called when the server has crashed on that request.
+	onCrash func()
 }
 
 // upstream is a stand-in for one life of a backend server. It tells no load, so that a status check waits for a slot
@@ -331,6 +335,14 @@
 	u.rec.line("server %s runs %s %s %s of %s%s", u.cfg.id, id, req.Method, req.RequestURI,
 		req.Header.Get("Sardinespar-Caller-Service"), late)
 
+	if u.cfg.deadly != "" && req.URL.Path == u.cfg.deadly {
+		u.rec.line("server %s crashes on %s", u.cfg.id, id)
+		u.crash()
+		u.cfg.onCrash()
+
+		return nil, nil, false
+	}
+
 	took := time.Duration(float64(u.cfg.work) * (0.5 + rand.Float64()))
 	select {
 	case <-time.After(took):
