Let faulty servers say at their status check that they fail

Cause: the answer that reaches a client in case 1 may also be a 503, which promises that an unsafe request has not run. Change: four of the eight faulty servers answer their status check with 503. The cases that judge an added route wait 6 s in place of 8 s, and case 2 loses eleven servers in place of ten, 7 s apart, so that it ends in time.

--- a/review/stand/added.go
+++ b/review/stand/added.go
@@ -18,7 +18,7 @@
 	firstRoute = "/stock/"
 	addedRoute = "/cards/"
 	// steady is how long everything is calm before the added route is judged.
-	steady = 8 * time.Second
+	steady = 6 * time.Second
 	// minRequests is the number of requests on added routes from which the rule applies.
 	minRequests = 20
 )
@@ -208,9 +208,9 @@
 // until its machine is taken away; a new machine with a new server has come by then.
 func manyRanges(e *env) error {
 	const (
-		losses = 10
+		losses = 11
 		// gone is how long the relay goes on without its server.
-		gone = 7500 * time.Millisecond
+		gone = 7 * time.Second
 	)
 
 	servers, err := e.startPair(2, 7, true)
--- a/review/stand/bytes.go
+++ b/review/stand/bytes.go
@@ -62,7 +62,8 @@
 	if e.trouble {
 		for i, u := range servers {
 			if float64(i+1) <= garbledServers*machines {
-				u.setFaults(faults{extra: garbledAnswers, cut: garbledAnswers})
+				// Every second one of the faulty servers knows that it fails.
+				u.setFaults(faults{extra: garbledAnswers, cut: garbledAnswers, failing: i%2 == 1})
 			}
 		}
 	}
--- a/review/stand/upstream.go
+++ b/review/stand/upstream.go
@@ -23,6 +23,8 @@
 	extra float64
 	// cut is the share of the answers that break off.
 	cut float64
+	// failing is true for a server that says 503 at its status check.
+	failing bool
 }
 
 // upstreamSettings are the settings of one life of a backend server.
@@ -390,7 +392,7 @@
 func (u *upstream) health(gone <-chan struct{}) []byte {
 	u.mu.Lock()
 	u.checks++
-	leaving := u.draining
+	bad := u.draining || u.faults.failing
 	u.mu.Unlock()
 
 	u.rec.line("server %s gets a status check", u.cfg.id)
@@ -407,7 +409,7 @@
 	u.leave()
 
 	status := http.StatusOK
-	if leaving {
+	if bad {
 		status = http.StatusServiceUnavailable
 	}
 
