Quarantine requests that crash backend servers on relays

What callers saw: a request that crashes each backend server that runs it came again every 2 s at any node of a service.

Cause: a gate took a crash for one more broken connection. The health check that follows showed that the server had ended, and this was used to treat it as cold; which requests were in flight was forgotten, so no node could recognize the request when it came again.

Ruled out: the retry on a second server (without it there are still 23 crashes, it only doubles them); a crash that the gate doesn't notice ("health check failed ... connection refused" follows each within 1 ms, in the logs of all six nodes).

Change: the requests whose connections break are kept until the health check's verdict. If the server refuses connections, or another incarnation answers, each of them gets an entry (package crash, Detector), which all nodes share: sent at once, and pulled by nodes whose digest differs, also after a restart. The request is known by service, host, method, URI and body, not by the service of the node that it came to. Quarantine's entries moved to a Registry that both use; its behavior is as before.

Tests, failing before: go test ./platform -run 'Crash|Quarantine' (12 crashes of the unsafe request, 3 allowed; the last response 502 instead of 503). New: go test ./crash.

--- a/crash/entry.go
+++ b/crash/entry.go
@@ -1,7 +1,8 @@
 // Package crash quarantines requests that crash backend servers, so that they do not crash the others as well.
+// Quarantine shares its entries through the table, and Detector leaves sharing them to its caller.
 //
-// A request whose connection broke because the backend server crashed gets a quarantine entry, which all nodes
-// receive. The entry node, to which the caller sent the request, may try an idempotent request on one further
+// With Quarantine, a request whose connection broke because the backend server crashed gets a quarantine entry, which
+// all nodes receive. The entry node, to which the caller sent the request, may try an idempotent request on one further
 // backend server; until that attempt has a result, the request is suspected and nodes refuse other calls of it.
 // After the second crash, or the first one of a request that is not idempotent, the request is quarantined: all
 // nodes refuse it until the entry expires or is lifted.
@@ -39,9 +40,15 @@
 // callers may change them with each resend.
 func Fingerprint(c spar.Call) string {
 	path, _, _ := strings.Cut(c.URI, "?")
+
+	return hashRequest(c.Service.Name+"\n"+c.Method+" "+path, c.Body)
+}
+
+// hashRequest returns the fingerprint of a request with the given description and body.
+func hashRequest(description string, body []byte) string {
 	h := sha256.New()
-	_, _ = h.Write([]byte(c.Service.Name + "\n" + c.Method + " " + path + "\n"))
-	_, _ = h.Write(c.Body)
+	_, _ = h.Write([]byte(description + "\n"))
+	_, _ = h.Write(body)
 
 	return hex.EncodeToString(h.Sum(nil)[:fingerprintBytes])
 }
@@ -82,13 +89,14 @@
 	return e
 }
 
-// validate returns an error for an entry that no node can have written.
-func (e Record) validate() error {
+// validate returns an error for an entry that no node can have written, if nodes write entries that expire after
+// at most maxAge.
+func (e Record) validate(maxAge spar.Millis) error {
 	if raw, err := hex.DecodeString(e.Fingerprint); err != nil || len(raw) != fingerprintBytes {
 		return errors.New("fingerprint is malformed")
 	}
 
-	if e.UntilMs-e.ChangedMs > int64(quarantineDuration) || e.ChangedMs < 0 || len(e.Victims) > maxVictims {
+	if e.UntilMs-e.ChangedMs > int64(maxAge) || e.ChangedMs < 0 || len(e.Victims) > maxVictims {
 		return errors.New("quarantine is too long or has too many victims")
 	}
 
@@ -101,5 +109,5 @@
 
 	err := json.Unmarshal(r.Value, &e)
 
-	return e, err == nil && e.validate() == nil && r.Key == Key(e.Fingerprint)
+	return e, err == nil && e.validate(quarantineDuration) == nil && r.Key == Key(e.Fingerprint)
 }
--- a/crash/push.go
+++ b/crash/push.go
@@ -127,7 +127,7 @@
 	}
 
 	if stored, valid := decode(row); ok && valid {
-		e = q.merge(stored)
+		e = q.registry.Merge(stored)
 	}
 
 	value := fleet.Encode(e)
--- a/crash/quarantine.go
+++ b/crash/quarantine.go
@@ -31,8 +31,6 @@
 	quarantineVictims = 2
 	// maxVictims is the largest number of victims that an entry from a peer or the table may list.
 	maxVictims = 64
-	// maxEntries bounds the memory. The entry that expires first is evicted.
-	maxEntries = 4096
 )
 
 // State determines whether a call may run.
@@ -58,9 +56,9 @@
 	unixMillis func() int64
 	recorder   spar.Recorder
 
-	// mergedView is the last snapshot of the replica whose rows have been merged into entries.
+	registry *Registry
+	// mergedView is the last snapshot of the replica whose rows have been merged into the registry.
 	mergedView atomic.Pointer[fleet.View]
-	entries    atomic.Pointer[map[string]Record]
 
 	mu sync.Mutex
 	// pending holds the fingerprints of entries to be written to the table. The value is true if the entry
@@ -75,13 +73,10 @@
 	self func() spar.NodeID, r *fleet.Replica, t spar.Table, caller peers.Caller, clock spar.Clock,
 	unixMillis func() int64, recorder spar.Recorder,
 ) *Quarantine {
-	q := &Quarantine{
+	return &Quarantine{
 		self: self, replica: r, table: t, caller: caller, clock: clock, unixMillis: unixMillis, recorder: recorder,
-		pending: map[string]bool{}, wake: make(chan struct{}, 1),
+		registry: NewRegistry(unixMillis), pending: map[string]bool{}, wake: make(chan struct{}, 1),
 	}
-	q.entries.Store(&map[string]Record{})
-
-	return q
 }
 
 // Register adds the method that peers call.
@@ -90,11 +85,11 @@
 }
 
 func (q *Quarantine) servePush(_ context.Context, e Record) (fleet.Empty, error) {
-	if err := e.validate(); err != nil {
+	if err := e.validate(quarantineDuration); err != nil {
 		return fleet.Empty{}, err
 	}
 
-	q.merge(e)
+	q.registry.Merge(e)
 
 	return fleet.Empty{}, nil
 }
@@ -142,7 +137,7 @@
 	}
 
 	e.ChangedMs = now
-	q.push(ctx, q.merge(e))
+	q.push(ctx, q.registry.Merge(e))
 
 	return true
 }
@@ -161,7 +156,7 @@
 	before := q.allEntries()[e.Fingerprint]
 	repeated := before.isActive(now) && slices.Contains(before.Victims, q.self())
 
-	e = q.merge(e)
+	e = q.registry.Merge(e)
 	q.recorder.Record(spar.Event{Kind: spar.EventQuarantined, Service: e.Service, Request: c.ID, Detail: e.Fingerprint})
 	q.push(ctx, e)
 
@@ -208,7 +203,7 @@
 func (q *Quarantine) lift(e Record) {
 	e.ChangedMs, e.Lifted, e.Victims = max(q.unixMillis(), e.ChangedMs+1), true, nil
 
-	q.merge(e)
+	q.registry.Merge(e)
 	q.recorder.Record(spar.Event{Kind: spar.EventQuarantined, Service: e.Service, Detail: e.Fingerprint + " lifted"})
 	q.enqueue(e.Fingerprint, true)
 }
@@ -217,45 +212,16 @@
 func (q *Quarantine) allEntries() map[string]Record {
 	v := q.replica.View()
 	if q.mergedView.Load() == v {
-		return *q.entries.Load()
+		return q.registry.All()
 	}
 
 	for _, r := range v.Rows(fleet.PrefixQuarantine) {
 		if e, ok := decode(r); ok {
-			q.merge(e)
+			q.registry.Merge(e)
 		}
 	}
 
 	q.mergedView.Store(v)
 
-	return *q.entries.Load()
-}
-
-// merge merges an entry into the known ones and returns the result. It also removes expired entries.
-func (q *Quarantine) merge(e Record) Record {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-
-	old := *q.entries.Load()
-
-	if known, ok := old[e.Fingerprint]; ok && known.UntilMs > q.unixMillis() {
-		e = known.merge(e)
-	}
-
-	next := maps.Clone(old)
-	next[e.Fingerprint] = e
-	now := q.unixMillis()
-
-	maps.DeleteFunc(next, func(_ string, o Record) bool { return now >= o.UntilMs })
-
-	if len(next) > maxEntries {
-		firstToExpire := slices.MinFunc(slices.Collect(maps.Values(next)), func(a, b Record) int {
-			return int(a.UntilMs - b.UntilMs)
-		})
-		delete(next, firstToExpire.Fingerprint)
-	}
-
-	q.entries.Store(&next)
-
-	return e
+	return q.registry.All()
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -57,6 +57,9 @@
 	Closed func() bool
 	// RulesLag returns how long peers have been known to have newer rules, and whether they have any.
 	RulesLag func() (spar.Millis, bool)
+	// Quarantined reports whether a request must not run now because it crashes backend servers, and the time
+	// until it may.
+	Quarantined func(req gate.Request) (spar.Millis, bool)
 }
 
 // Entry serves the requests of callers on this VM.
@@ -128,7 +131,7 @@
 	ctx, cancel := context.WithTimeout(r.Context(), (req.Deadline - arrived).Duration())
 	defer cancel()
 
-	result := e.route(ctx, req, rule)
+	result := e.routeUnlessQuarantined(ctx, req, rule)
 	result.Service = req.Service
 	took := e.deps.Clock.Now() - arrived
 	e.record(req, result, rule, set.Version, took)
--- a/entry/reply.go
+++ b/entry/reply.go
@@ -72,7 +72,13 @@
 	switch {
 	case result.Outcome == spar.OutcomeNotRun:
 		status = http.StatusServiceUnavailable
-		after := min(maxRetryAfter, max(minRetryAfter, result.RetryAfter))
+		after := max(minRetryAfter, result.RetryAfter)
+
+		// A quarantine lasts longer than any shortage.
+		if result.Reason != spar.ReasonQuarantined {
+			after = min(maxRetryAfter, after)
+		}
+
 		w.Header().Set("Retry-After", strconv.FormatFloat(float64(after)/1000, 'f', 3, 64))
 	case result.Reason == spar.ReasonDeadline:
 		status = http.StatusGatewayTimeout
--- a/entry/route.go
+++ b/entry/route.go
@@ -22,6 +22,15 @@
 	maxAttempts = 4
 )
 
+// routeUnlessQuarantined routes a request, or refuses it at once if it crashes backend servers.
+func (e *Entry) routeUnlessQuarantined(ctx context.Context, req gate.Request, rule rules.Rule) gate.Result {
+	if after, quarantined := e.deps.Quarantined(req); quarantined {
+		return gate.Refused(spar.ReasonQuarantined, after)
+	}
+
+	return e.route(ctx, req, rule)
+}
+
 // route sends a request to one node after another until it is answered or may not be sent again.
 func (e *Entry) route(ctx context.Context, req gate.Request, rule rules.Rule) gate.Result {
 	if req.Key != gate.NoKey {
@@ -70,7 +79,7 @@
 // shouldRetry reports whether a request may be sent again after a result, and spends a retry where one is
 // needed. It counts the attempts that reached a backend server in sent.
 func (e *Entry) shouldRetry(ctx context.Context, req gate.Request, rule rules.Rule, r gate.Result, sent *int) bool {
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || r.Reason == spar.ReasonQuarantined {
 		return false
 	}
 
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -39,8 +39,27 @@
 	// Closed reports whether no new request may run, because the VM's availability zone is withdrawn or
 	// the process is about to exit.
 	Closed func() bool
+	// Crashes refuses the requests that crash backend servers. It may be nil.
+	Crashes CrashLog
 }
 
+// CrashLog keeps which requests crash backend servers.
+type CrashLog interface {
+	// Quarantined reports whether a request must not run now, and the time until it may.
+	Quarantined(req Request) (spar.Millis, bool)
+	// Crashed records that the backend server crashed while the requests were in flight there.
+	Crashed(server spar.Incarnation, requests []Request)
+	// Completed records that a request did not crash the backend server that ran it.
+	Completed(req Request)
+}
+
+// noCrashLog is a CrashLog that keeps nothing.
+type noCrashLog struct{}
+
+func (noCrashLog) Quarantined(Request) (spar.Millis, bool) { return 0, false }
+func (noCrashLog) Crashed(spar.Incarnation, []Request)     {}
+func (noCrashLog) Completed(Request)                       {}
+
 // Gate passes requests to the backend server on this VM. Every request to that server goes through its
 // gate, so the gate's counts of running and waiting requests are exact.
 type Gate struct {
@@ -53,9 +72,12 @@
 	// logLimiter limits the log lines about requests that were not completed.
 	logLimiter *tally.Limiter
 
-	state          atomic.Pointer[Upstream]
-	mu             sync.Mutex
+	state atomic.Pointer[Upstream]
+	mu    sync.Mutex
+	// checkingHealth is true while a health check is made after a broken connection, and suspects are the requests
+	// whose connections have broken since it began.
 	checkingHealth bool
+	suspects       []suspect
 	// departed is closed when the backend server stops being ready, so that waiting requests are refused.
 	departed chan struct{}
 }
@@ -65,6 +87,10 @@
 
 // New returns a gate without a backend server.
 func New(cfg Settings, deps Deps) *Gate {
+	if deps.Crashes == nil {
+		deps.Crashes = noCrashLog{}
+	}
+
 	g := &Gate{
 		cfg: cfg, deps: deps, queue: NewQueue(deps.Clock), keys: NewKeyLoad(deps.Clock), departed: make(chan struct{}),
 		logLimiter: tally.NewLimiter(deps.Clock, maxLogLines),
@@ -215,6 +241,10 @@
 		return Refused(spar.ReasonDeadline, 0), false
 	}
 
+	if after, quarantined := g.deps.Crashes.Quarantined(req); quarantined {
+		return Refused(spar.ReasonQuarantined, after), false
+	}
+
 	return Result{}, true
 }
 
--- a/gate/run.go
+++ b/gate/run.go
@@ -13,9 +13,6 @@
 	"sardinespar.example/spar/conns"
 )
 
-// healthCheckTimeout is the timeout of a health check.
-const healthCheckTimeout spar.Millis = 300
-
 // run sends a request that has a slot to the backend server. The slot is freed when the response body is closed,
 // or at once if there is no response.
 func (g *Gate) run(ctx context.Context, w *Waiter, req Request) Result {
@@ -36,7 +33,10 @@
 		return g.handleSendFailure(ctx, req, incarnation, failure)
 	}
 
-	b := &slotBody{ReadCloser: resp.Body, gate: g, waiter: w, start: start, cancel: cancel}
+	b := &slotBody{
+		ReadCloser: resp.Body, gate: g, waiter: w, request: req, incarnation: incarnation, start: start, ctx: ctx,
+		cancel: cancel,
+	}
 	b.serverError = resp.StatusCode >= http.StatusInternalServerError
 
 	if g.refusedByServer(resp) {
@@ -119,7 +119,7 @@
 }
 
 // handleSendFailure returns the result of a request without a response. If the request was not sent although ctx has
-// not ended, it marks the backend server as down. After a broken connection it calls suspectRestart.
+// not ended, it marks the backend server as down. After a broken connection it calls connectionBroken.
 func (g *Gate) handleSendFailure(
 	ctx context.Context, req Request, incarnation spar.Incarnation, f *conns.SendError,
 ) Result {
@@ -145,7 +145,7 @@
 	case ended:
 		return UnknownOutcome(spar.ReasonDeadline, f.Error())
 	default:
-		g.suspectRestart(context.WithoutCancel(ctx), req.Service)
+		g.connectionBroken(ctx, req, incarnation)
 
 		return UnknownOutcome(spar.ReasonBroken, f.Error())
 	}
@@ -198,14 +198,33 @@
 
 	gate   *Gate
 	waiter *Waiter
-	start  spar.Millis
-	cancel func()
+	// request was sent to the incarnation of the backend server.
+	request     Request
+	incarnation spar.Incarnation
+	start       spar.Millis
+	ctx         context.Context //nolint:containedctx // Read has no context of its own.
+	cancel      func()
 	// serverError reports whether the backend server responded with a server error. The duration of such a
 	// response is no measure of the service time.
 	serverError bool
 	closed      bool
 }
 
+// Read reads the body. It records whether the backend server sent the complete response or broke the connection.
+func (b *slotBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+
+	switch {
+	case err == nil:
+	case errors.Is(err, io.EOF):
+		b.gate.deps.Crashes.Completed(b.request)
+	case b.ctx.Err() == nil:
+		b.gate.connectionBroken(b.ctx, b.request, b.incarnation)
+	}
+
+	return n, err
+}
+
 // Close closes the body, records the time since the request was sent and frees the slot. The time counts for the
 // mean service time only if the server did not respond with an error.
 func (b *slotBody) Close() error {
@@ -227,90 +246,3 @@
 
 	return err
 }
-
-// suspectRestart treats the backend server as cold until it sends a heartbeat or the known instance answers a
-// health check. It is called after a connection broke, which may mean that the server has restarted, and also when
-// the deadline passed or the caller closed the connection while the body was read.
-func (g *Gate) suspectRestart(ctx context.Context, service string) {
-	g.mu.Lock()
-	alreadyChecking := g.checkingHealth
-	g.checkingHealth = true
-	g.mu.Unlock()
-
-	if alreadyChecking {
-		return
-	}
-
-	g.Update(func(u Upstream) Upstream {
-		u.MaybeRestarted = true
-
-		return u
-	})
-
-	go g.runHealthCheck(ctx, service)
-}
-
-// runHealthCheck sends a health check to the backend server, to learn which instance it is and whether it is cold.
-func (g *Gate) runHealthCheck(ctx context.Context, service string) {
-	defer func() {
-		g.mu.Lock()
-		g.checkingHealth = false
-		g.mu.Unlock()
-	}()
-
-	set := g.deps.Rules()
-	if set == nil {
-		return
-	}
-
-	s, ok := set.Service(service)
-	if !ok || s.HealthPath == "" {
-		return
-	}
-
-	ctx, cancel := context.WithTimeout(ctx, healthCheckTimeout.Duration())
-	defer cancel()
-
-	resp, failure := g.deps.Pool.Send(ctx, g.cfg.Addr, conns.Request{
-		Method: http.MethodGet, URI: s.HealthPath, Host: g.cfg.Addr, Header: http.Header{},
-	})
-	if failure != nil {
-		g.deps.Log.Warn("health check failed", "cause", failure)
-
-		return
-	}
-	defer func() { _ = resp.Body.Close() }()
-
-	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
-		g.deps.Log.Warn("health check response truncated", "cause", err)
-
-		return
-	}
-
-	g.applyHealthCheck(resp)
-}
-
-// applyHealthCheck updates the gate's view of the backend server from the response to a health check. It ignores
-// responses from another instance.
-func (g *Gate) applyHealthCheck(resp *http.Response) {
-	coldFor, err := strconv.ParseFloat(resp.Header.Get(g.cfg.Names.Cold), 64)
-	if err != nil {
-		coldFor = 0
-	}
-
-	id := resp.Header.Get(g.cfg.Names.InstanceID)
-
-	g.Update(func(u Upstream) Upstream {
-		if id != u.Incarnation.ID {
-			return u
-		}
-
-		if coldFor > 0 {
-			u.ColdUntil = max(u.ColdUntil, g.deps.Clock.Now()+spar.Millis(coldFor))
-		}
-
-		u.MaybeRestarted = false
-
-		return u
-	})
-}
--- a/mesh/state.go
+++ b/mesh/state.go
@@ -31,6 +31,8 @@
 	// RulesVersion is the version of the rules in force, and MapRevision the revision of the service's map of owners.
 	RulesVersion uint64        `json:"rules,omitempty"`
 	MapRevision  spar.Revision `json:"map_revision,omitempty"`
+	// CrashDigest identifies the node's entries of requests that crash backend servers; 0 means that it has none.
+	CrashDigest uint64 `json:"crashes,omitempty"`
 	// Utilization is the utilization of the slots by requests with a key.
 	Utilization float64 `json:"use,omitempty"`
 }
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -43,6 +43,7 @@
 // of this node lags.
 func (r *Relay) onPeerState(s mesh.State) {
 	r.checkRules(s)
+	r.crashes.check(s)
 
 	if s.MapRevision > r.maps.Revision(s.Service) && r.pullingMap.CompareAndSwap(false, true) {
 		go r.runPullMap(s)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -119,6 +119,7 @@
 	pullingMap   atomic.Bool
 	pullingRules atomic.Bool
 	announced    announcements
+	crashes      *crashLog
 	peerPool     *peers.Pool
 	// work is the context of background tasks. It ends when Run returns, after the requests in flight are drained.
 	work context.Context //nolint:containedctx // Tasks that answer a peer's state have no other context.
@@ -136,12 +137,14 @@
 	names := deps.Adapter.Names()
 	pool := conns.New(deps.Dial, deps.Clock, conns.Options{MaxIdle: maxIdle, IdleTimeout: poolIdleTimeout})
 	r.peerPool = peers.NewPool(deps.Dial, r.traffic)
+	r.crashes = newCrashLog(r)
 
 	r.gate = gate.New(gate.Settings{
 		Addr: cfg.AppAddr, Names: names, ColdShare: cfg.ColdShare, MaxBufferedBytes: int64(cfg.MaxBufferedBytes),
 	}, gate.Deps{
 		Clock: deps.Clock, Pool: pool, Link: deps.Link, Log: deps.Log, Tally: deps.Tally, Rules: r.operator.Rules,
-		Closed: func() bool { return r.closed.Load() || r.operator.ZoneWithdrawn(cfg.Zone) },
+		Closed:  func() bool { return r.closed.Load() || r.operator.ZoneWithdrawn(cfg.Zone) },
+		Crashes: r.crashes,
 	})
 	r.mesh = mesh.New(cfg.Node, mesh.Deps{
 		Clock: deps.Clock, Caller: r.peerPool, Log: deps.Log, Self: r.state, OnState: r.onPeerState, Packets: deps.Packets,
@@ -165,11 +168,13 @@
 		Clock: deps.Clock, Rules: r.operator.Rules, Mesh: r.mesh, Maps: r.maps, Gate: r.gate, Pool: pool,
 		Log: deps.Log, Tally: deps.Tally,
 		ZoneWithdrawn: r.operator.ZoneWithdrawn, Closing: r.leaving.Load, Closed: r.closed.Load, RulesLag: r.rulesLag,
+		Quarantined: r.crashes.Quarantined,
 	})
 	r.inbound = entry.NewInbound(r.gate, deps.Link, deps.Clock, deps.Log, int64(cfg.MaxBodyBytes))
 	r.mesh.Register(r.mux)
 	r.owner.Register(r.mux)
 	r.registerRules()
+	r.crashes.register(r.mux)
 
 	return r
 }
@@ -197,7 +202,7 @@
 		Zone: r.cfg.Zone, Service: r.cfg.Service, PeerAddr: r.cfg.PeerAddr, InboundAddr: r.cfg.InboundAddr,
 		Leaving: r.leaving.Load(), ServerIncarnation: u.Incarnation, Ready: u.Ready && !u.Down, ColdMS: max(0, cold),
 		Load: r.gate.Load(), Utilization: r.owner.Utilization(), RulesVersion: r.operator.version(),
-		MapRevision: r.maps.Revision(r.cfg.Service),
+		MapRevision: r.maps.Revision(r.cfg.Service), CrashDigest: r.crashes.detector.Digest(),
 	}
 }
 
