Get withdrawn zones from peers as well as from the store

What callers saw: the store gave two nodes no response for 9 s.

Cause: a long poll that began before the outage never gets a response, and only its timeout of 21.5 s ends it. The withdrawn zones were known from that poll alone; the other nodes knew better and exchanged their states with the two several times a second, but states did not mention zones.

Ruled out: an old state read after the outage (the logs show no read before 20 s); a gate that admits requests to a zone that is known to be withdrawn (the line of the withdrawal comes with the last of these requests).

Change: the states that nodes exchange carry a digest of the withdrawn zones and the revision as of which they are known. Package zones lets only knowledge of a newer revision replace what is known, whichever source is faster. This also covers a node that starts while the store doesn't respond to it: it got rules from peers, but no zones.

Tests: go test ./platform -run WithdrawalFromPeer failed before (4 requests in the zone after 5 s); go test ./zones (property: the zones are always those as of the known revision, which never decreases).

--- a/follow/follower.go
+++ b/follow/follower.go
@@ -44,9 +44,10 @@
 	Clock spar.Clock
 	Table Table
 	Log   *log.Logger
-	// Replace receives the complete table, and Apply changed rows. With a ScanInterval, Apply is not called.
-	Replace func([]spar.Row)
-	Apply   func([]spar.Row)
+	// Replace receives the complete table as of a revision, and Apply changed rows. With a ScanInterval, Apply is
+	// not called.
+	Replace func(rows []spar.Row, revision spar.Revision)
+	Apply   func(rows []spar.Row)
 }
 
 // Follower follows a table: it reads all rows once and then their changes, or all rows at intervals.
@@ -139,7 +140,7 @@
 func (f *Follower) deliver(res result) {
 	switch {
 	case res.complete:
-		f.deps.Replace(res.rows)
+		f.deps.Replace(res.rows, res.revision)
 	case len(res.rows) > 0:
 		f.deps.Apply(res.rows)
 	}
--- a/follow/follower_test.go
+++ b/follow/follower_test.go
@@ -95,7 +95,8 @@
 		}
 	}
 	f = follow.New(follow.Settings{Name: "op", Prefix: "op//"}, follow.Deps{
-		Clock: spar.RuntimeClock(), Table: table, Log: log.New(io.Discard), Replace: record, Apply: record,
+		Clock: spar.RuntimeClock(), Table: table, Log: log.New(io.Discard), Apply: record,
+		Replace: func(rows []spar.Row, _ spar.Revision) { record(rows) },
 	})
 
 	go f.Run(t.Context())
@@ -184,7 +185,8 @@
 		var read atomic.Int64
 
 		f := follow.New(follow.Settings{Name: "fleet", Prefix: "fleet//", ScanInterval: 40_000}, follow.Deps{
-			Clock: spar.RuntimeClock(), Table: table, Log: log.New(io.Discard), Replace: func([]spar.Row) { read.Add(1) },
+			Clock: spar.RuntimeClock(), Table: table, Log: log.New(io.Discard),
+			Replace: func([]spar.Row, spar.Revision) { read.Add(1) },
 		})
 
 		go f.Run(t.Context())
--- a/mesh/state.go
+++ b/mesh/state.go
@@ -31,6 +31,9 @@
 	// RulesVersion is the version of the rules in force, and MapRevision the revision of the service's map of owners.
 	RulesVersion uint64        `json:"rules,omitempty"`
 	MapRevision  spar.Revision `json:"map_revision,omitempty"`
+	// ZonesDigest identifies the withdrawn availability zones as of ZonesRevision; 0 means that none is withdrawn.
+	ZonesRevision spar.Revision `json:"zones_revision,omitempty"`
+	ZonesDigest   uint64        `json:"zones,omitempty"`
 	// CrashDigest identifies the node's entries of requests that crash backend servers; 0 means that it has none.
 	CrashDigest uint64 `json:"crashes,omitempty"`
 	// Utilization is the utilization of the slots by requests with a key.
--- a/relay/catchup.go
+++ b/relay/catchup.go
@@ -8,16 +8,17 @@
 	spar "sardinespar.example/spar"
 	"sardinespar.example/spar/mesh"
 	"sardinespar.example/spar/peers"
+	"sardinespar.example/spar/zones"
 )
 
 const (
-	// methodRules requests the row of the rules that a peer has in force.
-	methodRules = "relay.rules"
-	// rulesPullDelay is how long the store may take to deliver a version that a peer has announced, before the
-	// version is pulled from the peer.
-	rulesPullDelay spar.Millis = 250
-	// rulesTimeout bounds the call to a peer. A row of the maximum size takes 70 ms over 10 Mbit/s.
-	rulesTimeout spar.Millis = 800
+	// methodOperator requests what a peer knows of the operators' table.
+	methodOperator = "relay.operator"
+	// operatorPullDelay is how long the store may take to deliver a change that a peer has announced, before the
+	// change is pulled from the peer.
+	operatorPullDelay spar.Millis = 250
+	// operatorTimeout bounds the call to a peer. A row of the maximum size takes 70 ms over 10 Mbit/s.
+	operatorTimeout spar.Millis = 800
 )
 
 // announcements are the versions of the rules that peers have announced and this node lacks, in ascending order.
@@ -55,15 +56,17 @@
 	return a.list[0].at, true
 }
 
-// rulesReply holds the row of the rules that a node has in force. Without rules, its revision is 0.
-type rulesReply struct {
-	Row spar.Row `json:"row"`
+// operatorReply holds the row of the rules that a node has in force, and the withdrawn zones. Without rules, the
+// revision of the row is 0.
+type operatorReply struct {
+	Row   spar.Row       `json:"row"`
+	Zones zones.Snapshot `json:"zones"`
 }
 
-// registerRules lets peers request the rules in force.
-func (r *Relay) registerRules() {
-	peers.Handle(r.mux, methodRules, func(context.Context, struct{}) (rulesReply, error) {
-		return rulesReply{Row: r.operator.rulesRow()}, nil
+// registerOperator lets peers request what this node knows of the operators' table.
+func (r *Relay) registerOperator() {
+	peers.Handle(r.mux, methodOperator, func(context.Context, struct{}) (operatorReply, error) {
+		return operatorReply{Row: r.operator.rulesRow(), Zones: r.operator.zones.Snapshot()}, nil
 	})
 }
 
@@ -77,45 +80,58 @@
 	return r.deps.Clock.Now() - at, true
 }
 
-// checkRules compares the version that a peer has in force with this node's. If the store does not deliver a
-// newer version within rulesPullDelay, it is requested from both the store and the peer, since the store may refuse
-// this node.
-func (r *Relay) checkRules(s mesh.State) {
-	if s.RulesVersion <= r.operator.version() {
+// behind reports whether a peer knows newer rules, or other withdrawn zones as of a newer revision.
+func (o *operator) behind(s mesh.State) bool {
+	known := o.zones.Snapshot()
+
+	return s.RulesVersion > o.version() || s.ZonesRevision > known.Revision && s.ZonesDigest != known.Digest()
+}
+
+// checkOperator compares what a peer knows of the operators' table with what this node knows. If the store does not
+// deliver a change within operatorPullDelay, it is requested from both the store and the peer, since the store may
+// refuse this node or leave its long poll without a response.
+func (r *Relay) checkOperator(s mesh.State) {
+	if !r.operator.behind(s) {
 		return
 	}
 
-	r.announced.add(s.RulesVersion, r.deps.Clock.Now())
+	if s.RulesVersion > r.operator.version() {
+		r.announced.add(s.RulesVersion, r.deps.Clock.Now())
+	}
 
-	if r.pullingRules.CompareAndSwap(false, true) {
-		go r.runPullRules(s)
+	if r.pullingOperator.CompareAndSwap(false, true) {
+		go r.runPullOperator(s)
 	}
 }
 
-// runPullRules requests the rules that a peer has announced, unless the store delivers them within rulesPullDelay.
-func (r *Relay) runPullRules(s mesh.State) {
-	defer r.pullingRules.Store(false)
+// runPullOperator requests the changes that a peer has announced, unless the store delivers them within
+// operatorPullDelay.
+func (r *Relay) runPullOperator(s mesh.State) {
+	defer r.pullingOperator.Store(false)
 
-	if !r.deps.Clock.Sleep(r.work, rulesPullDelay) || s.RulesVersion <= r.operator.version() {
+	if !r.deps.Clock.Sleep(r.work, operatorPullDelay) || !r.operator.behind(s) {
 		return
 	}
 
 	r.operator.feed.Refresh()
-	r.pullRules(s)
+	r.pullOperator(s)
 }
 
-// pullRules requests the rules from a peer and puts them in force.
-func (r *Relay) pullRules(s mesh.State) {
-	ctx, cancel := context.WithTimeout(r.work, rulesTimeout.Duration())
+// pullOperator requests what a peer knows of the operators' table and applies it.
+func (r *Relay) pullOperator(s mesh.State) {
+	ctx, cancel := context.WithTimeout(r.work, operatorTimeout.Duration())
 	defer cancel()
 
-	var reply rulesReply
-	if err := r.peerPool.Call(ctx, s.PeerAddr, methodRules, struct{}{}, &reply); err != nil {
-		r.deps.Log.Warn("cannot pull rules from peer", "peer", s.Node, "version", s.RulesVersion, "cause", err)
+	var reply operatorReply
+	if err := r.peerPool.Call(ctx, s.PeerAddr, methodOperator, struct{}{}, &reply); err != nil {
+		r.deps.Log.Warn("cannot pull operators' changes from peer", "peer", s.Node, "version", s.RulesVersion,
+			"zones_revision", s.ZonesRevision, "cause", err)
 
 		return
 	}
 
+	r.operator.replaceZones(reply.Zones)
+
 	if reply.Row.Revision > 0 {
 		r.operator.updateRules([]spar.Row{reply.Row})
 	}
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -22,7 +22,7 @@
 }
 
 // learnNodes adds the nodes in the rows to the mesh.
-func (r *Relay) learnNodes(rows []spar.Row) {
+func (r *Relay) learnNodes(rows []spar.Row, _ spar.Revision) {
 	for _, row := range rows {
 		if row.Value == nil {
 			continue
@@ -39,10 +39,10 @@
 	}
 }
 
-// onPeerState compares a peer's state with this node's. A peer with newer rules or a newer map shows that a feed
-// of this node lags.
+// onPeerState compares a peer's state with this node's. A peer that knows newer changes shows that this node has
+// missed them.
 func (r *Relay) onPeerState(s mesh.State) {
-	r.checkRules(s)
+	r.checkOperator(s)
 	r.crashes.check(s)
 
 	if s.MapRevision > r.maps.Revision(s.Service) && r.pullingMap.CompareAndSwap(false, true) {
--- a/relay/operator.go
+++ b/relay/operator.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"maps"
 	"sync"
 	"sync/atomic"
 
@@ -10,6 +9,7 @@
 	spar "sardinespar.example/spar"
 	"sardinespar.example/spar/follow"
 	"sardinespar.example/spar/rules"
+	"sardinespar.example/spar/zones"
 )
 
 // operator holds the settings of operators: the rules in force and the withdrawn zones.
@@ -24,8 +24,7 @@
 	// rulesMu is held while a version is compared with active and put in force.
 	rulesMu sync.Mutex
 
-	mu        sync.Mutex
-	withdrawn map[string]bool
+	zones *zones.Set
 }
 
 // activeRules are the rules in force and the row that contains them.
@@ -35,7 +34,7 @@
 }
 
 func newOperator(deps Deps) *operator {
-	o := &operator{adapter: deps.Adapter, log: deps.Log, withdrawn: map[string]bool{}}
+	o := &operator{adapter: deps.Adapter, log: deps.Log, zones: zones.New()}
 	table := deps.Adapter.OperatorTable()
 	o.feed = follow.New(follow.Settings{Name: table, Prefix: table + "//"}, follow.Deps{
 		Clock: deps.Clock, Table: deps.Table, Log: deps.Log, Replace: o.replace, Apply: o.apply,
@@ -85,49 +84,55 @@
 
 // ZoneWithdrawn reports whether a zone is withdrawn.
 func (o *operator) ZoneWithdrawn(zone string) bool {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-
-	return o.withdrawn[zone]
+	return o.zones.Withdrawn(zone)
 }
 
-// replace applies the complete table. Zones that are not in it are not withdrawn.
-func (o *operator) replace(rows []spar.Row) {
-	withdrawn := map[string]bool{}
+// replace applies the complete table as of a revision. Zones that are not in it are not withdrawn.
+func (o *operator) replace(rows []spar.Row, revision spar.Revision) {
+	snapshot := zones.Snapshot{Revision: revision}
 
-	for _, r := range rows {
-		if zone, isWithdrawn, ok := o.adapter.ZoneWithdrawal(r); ok && isWithdrawn {
-			withdrawn[zone] = true
+	for _, c := range o.zoneChanges(rows) {
+		if c.Withdrawn {
+			snapshot.Withdrawn = append(snapshot.Withdrawn, c.Zone)
 		}
 	}
 
-	o.mu.Lock()
-	changed := !maps.Equal(withdrawn, o.withdrawn)
-	o.withdrawn = withdrawn
-	o.mu.Unlock()
+	o.replaceZones(snapshot)
+	o.updateRules(rows)
+}
 
-	if changed {
-		o.log.Info("withdrawn zones changed", "count", len(withdrawn))
+// apply applies changed rows.
+func (o *operator) apply(rows []spar.Row) {
+	if o.zones.Apply(o.zoneChanges(rows)) {
+		o.logZones()
 	}
 
 	o.updateRules(rows)
 }
 
-// apply applies changed rows.
-func (o *operator) apply(rows []spar.Row) {
+// zoneChanges decodes the changes of zones from rows.
+func (o *operator) zoneChanges(rows []spar.Row) []zones.Change {
+	var changes []zones.Change
+
 	for _, r := range rows {
-		zone, withdrawn, ok := o.adapter.ZoneWithdrawal(r)
-		if !ok {
-			continue
+		if zone, withdrawn, ok := o.adapter.ZoneWithdrawal(r); ok {
+			changes = append(changes, zones.Change{Zone: zone, Withdrawn: withdrawn, Revision: r.Revision})
 		}
+	}
 
-		o.mu.Lock()
-		o.withdrawn[zone] = withdrawn
-		o.mu.Unlock()
-		o.log.Info("withdrawal of zone changed", "zone", zone, "out", withdrawn, "revision", r.Revision)
+	return changes
+}
+
+// replaceZones applies a snapshot of the withdrawn zones from the store or a peer.
+func (o *operator) replaceZones(s zones.Snapshot) {
+	if o.zones.Replace(s) {
+		o.logZones()
 	}
+}
 
-	o.updateRules(rows)
+func (o *operator) logZones() {
+	s := o.zones.Snapshot()
+	o.log.Info("withdrawn zones changed", "withdrawn", s.Withdrawn, "revision", s.Revision)
 }
 
 // updateRules puts newer rules from the store or a peer in force. It never returns to an earlier version.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -115,12 +115,12 @@
 	active atomic.Int64
 	// fleet follows the table of nodes.
 	fleet *follow.Follower
-	// pullingMap is set while a map is pulled from a peer, and pullingRules while rules are.
-	pullingMap   atomic.Bool
-	pullingRules atomic.Bool
-	announced    announcements
-	crashes      *crashLog
-	peerPool     *peers.Pool
+	// pullingMap is set while a map is pulled from a peer, and pullingOperator while operators' changes are.
+	pullingMap      atomic.Bool
+	pullingOperator atomic.Bool
+	announced       announcements
+	crashes         *crashLog
+	peerPool        *peers.Pool
 	// work is the context of background tasks. It ends when Run returns, after the requests in flight are drained.
 	work context.Context //nolint:containedctx // Tasks that answer a peer's state have no other context.
 }
@@ -173,7 +173,7 @@
 	r.inbound = entry.NewInbound(r.gate, deps.Link, deps.Clock, deps.Log, int64(cfg.MaxBodyBytes))
 	r.mesh.Register(r.mux)
 	r.owner.Register(r.mux)
-	r.registerRules()
+	r.registerOperator()
 	r.crashes.register(r.mux)
 
 	return r
@@ -196,12 +196,14 @@
 func (r *Relay) state() mesh.State {
 	u := r.gate.Upstream()
 	cold := u.ColdUntil - r.deps.Clock.Now()
+	withdrawn := r.operator.zones.Snapshot()
 
 	return mesh.State{
 		Node: r.cfg.Node, Incarnation: r.deps.Incarnation, StartedMs: r.started, Seq: r.seq.Add(1),
 		Zone: r.cfg.Zone, Service: r.cfg.Service, PeerAddr: r.cfg.PeerAddr, InboundAddr: r.cfg.InboundAddr,
 		Leaving: r.leaving.Load(), ServerIncarnation: u.Incarnation, Ready: u.Ready && !u.Down, ColdMS: max(0, cold),
 		Load: r.gate.Load(), Utilization: r.owner.Utilization(), RulesVersion: r.operator.version(),
+		ZonesRevision: withdrawn.Revision, ZonesDigest: withdrawn.Digest(),
 		MapRevision: r.maps.Revision(r.cfg.Service), CrashDigest: r.crashes.detector.Digest(),
 	}
 }
