Let the long polls of the fleet end one after the other

If the store leaves the long polls of all nodes without a response, no peer knows better, and a zone that is withdrawn after that goes on getting requests until the polls time out.

Cause: all nodes receive a change at the same moment and begin their next poll of 20 s together, so they also time out together, up to 21.5 s later.

Ruled out: shorter polls for all (at 295 nodes each second less costs the store's calls); a periodic read beside the poll (one more kind of call for what the end of a poll shows anyway).

Change: the length of a poll follows from the number of live nodes, one second each, 4 to 20 s. Polls that begin together end in the order of the nodes' names, about a second apart. The first node whose poll ends without a response asks again, and its peers learn from its state what they have missed.

Test: go test ./platform -run MuteForAll failed before (8 requests in the zone 5 s after its withdrawal); go test ./follow -run OneAfter (1 to 440 nodes).

--- a/follow/follower.go
+++ b/follow/follower.go
@@ -11,9 +11,8 @@
 )
 
 const (
-	// longPollWait is how long the store may hold a long poll for changes.
-	longPollWait spar.Millis = 20_000
-	// probeWait replaces longPollWait after a failure, so that an unresponsive store is queried again soon.
+	// probeWait is how long the store may hold a poll after a failure, so that an unresponsive store is queried again
+	// soon.
 	probeWait spar.Millis = 50
 	// scanTimeout bounds a scan of a complete table. It leaves time for long rows over a slow link.
 	scanTimeout spar.Millis = 15_000
@@ -44,6 +43,8 @@
 	Clock spar.Clock
 	Table Table
 	Log   *log.Logger
+	// Fleet returns the position of this node among those that follow the table. It may be nil if Apply is not called.
+	Fleet func() Fleet
 	// Replace receives the complete table as of a revision, and Apply changed rows. With a ScanInterval, Apply is
 	// not called.
 	Replace func(rows []spar.Row, revision spar.Revision)
@@ -75,8 +76,9 @@
 	revision spar.Revision
 	// complete is true if all rows up to the revision are known, so that only later changes are needed.
 	complete bool
-	// pollWait is how long the store may hold the next long poll.
+	// pollWait is how long the store may hold the next long poll, and fleet the position by which that was decided.
 	pollWait spar.Millis
+	fleet    Fleet
 }
 
 // Run follows the table until ctx ends.
@@ -86,7 +88,7 @@
 
 func (f *Follower) loop(ctx context.Context) {
 	var (
-		pos         = position{pollWait: longPollWait}
+		pos         position
 		unavailable bool
 		backoff     = spar.Backoff{Initial: initialBackoff, Max: maxBackoff}
 	)
@@ -97,7 +99,6 @@
 
 	for ctx.Err() == nil {
 		res := f.read(ctx, pos)
-		pos.pollWait = longPollWait
 
 		switch {
 		case res.err == nil:
@@ -106,7 +107,7 @@
 			}
 
 			f.deliver(res)
-			pos.revision, pos.complete = max(pos.revision, res.revision), f.cfg.ScanInterval <= 0
+			pos = f.next(pos, res)
 			unavailable, backoff = false, backoff.WithSuccess()
 			f.awaitInterval(ctx)
 		case errors.Is(res.err, spar.ErrHistoryLost):
@@ -127,6 +128,19 @@
 	}
 }
 
+// next returns the position after a successful read.
+func (f *Follower) next(pos position, res result) position {
+	next := position{revision: max(pos.revision, res.revision), complete: f.cfg.ScanInterval <= 0}
+
+	if next.complete {
+		next.fleet = f.deps.Fleet()
+		together := res.complete || len(res.rows) > 0 || pos.pollWait == probeWait || next.fleet != pos.fleet
+		next.pollWait = PollWait(next.fleet, together)
+	}
+
+	return next
+}
+
 // result is the result of a scan or of a request for changes.
 type result struct {
 	rows     []spar.Row
--- a/relay/operator.go
+++ b/relay/operator.go
@@ -33,11 +33,12 @@
 	row spar.Row
 }
 
-func newOperator(deps Deps) *operator {
+func newOperator(deps Deps, fleet func() follow.Fleet) *operator {
 	o := &operator{adapter: deps.Adapter, log: deps.Log, zones: zones.New()}
 	table := deps.Adapter.OperatorTable()
 	o.feed = follow.New(follow.Settings{Name: table, Prefix: table + "//"}, follow.Deps{
-		Clock: deps.Clock, Table: deps.Table, Log: deps.Log, Replace: o.replace, Apply: o.apply,
+		Clock: deps.Clock, Table: deps.Table, Log: deps.Log, Fleet: fleet, Replace: o.replace,
+		Apply: o.apply,
 	})
 
 	return o
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -131,7 +131,7 @@
 		cfg: cfg, deps: deps, maps: owner.NewMaps(), mux: peers.NewMux(), traffic: &peers.Traffic{},
 		started: deps.UnixMillis(),
 	}
-	r.operator = newOperator(deps)
+	r.operator = newOperator(deps, r.position)
 	r.fleet = r.newFleet()
 
 	names := deps.Adapter.Names()
