Accept a response without an id only as the first on its connection

What callers saw (report of another operator, shown here by a test): a faulty backend server repeats an earlier refusal on a persistent connection. Requests that it ran were answered 503, "has not run", or ran at a second server.

Cause: a response without a request id was taken for that of the current request on any connection. Refusals of health checks name no request, and health checks shared the connections of requests.

Ruled out: a refusal that names an earlier request (skipped before as well); the refusal of an earlier attempt of the same request (its connection is closed).

Change: conns tells responses apart as own, other and unmarked, and accepts an unmarked one only as the first on its connection. Health checks have a connection of their own. Between nodes, a response must name its request as before.

--- a/conns/body.go
+++ b/conns/body.go
@@ -50,7 +50,9 @@
 	resp *http.Response
 	up   *upload
 	stop func() bool
-	done bool
+	// ownConn is true if the connection must not carry another request.
+	ownConn bool
+	done    bool
 }
 
 // Read reads the body. An error other than io.EOF means that the response is truncated.
@@ -73,7 +75,7 @@
 // reusable reports whether the connection can carry another request. It can't if the request's ctx has ended,
 // which closes it.
 func (b *body) reusable() bool {
-	return b.stop() && !b.resp.Close && b.up.complete() && b.conn.r.Buffered() == 0
+	return b.stop() && !b.ownConn && !b.resp.Close && b.up.complete() && b.conn.r.Buffered() == 0
 }
 
 // Close releases the response. It closes the connection if the response wasn't read to its end.
--- a/conns/conn.go
+++ b/conns/conn.go
@@ -70,6 +70,8 @@
 	idleUntil spar.Millis
 	// used is true if an earlier request was answered on this connection.
 	used bool
+	// answered is true if any response has been read on this connection.
+	answered bool
 }
 
 func newConn(c net.Conn, addr string) *conn {
--- a/conns/fuzz_test.go
+++ b/conns/fuzz_test.go
@@ -37,7 +37,7 @@
 
 		resp, failure := pool.Send(ctx, "a", conns.Request{
 			Method: http.MethodGet, URI: "/", Host: "a", Header: http.Header{},
-			Matches: func(h http.Header) bool { return h.Get("Id") == "1" },
+			Match: func(h http.Header) conns.Match { return conns.RequireID(h.Get("Id"), "1") },
 		})
 		if failure != nil {
 			_ = client.Close()
--- a/conns/pool.go
+++ b/conns/pool.go
@@ -64,8 +64,45 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// Matches reports whether a response with this header belongs to the request; nil accepts any response.
-	Matches func(http.Header) bool
+	// Match returns how a response with this header relates to the request; nil accepts any response.
+	Match func(http.Header) Match
+	// OwnConn sends the request over a new connection, which carries no other request.
+	OwnConn bool
+}
+
+// Match is the relation of a response to a request.
+type Match int
+
+const (
+	// MatchOther means that the response belongs to another request.
+	MatchOther Match = iota
+	// MatchUnmarked means that the response names no request. It is accepted only as the first one on a connection,
+	// since on a later one it may be a second copy of an earlier response.
+	MatchUnmarked
+	// MatchOwn means that the response belongs to the request.
+	MatchOwn
+)
+
+// RequireID returns the relation of a response with an id to the request with the id want. A response without an id
+// belongs to another request.
+func RequireID(id, want string) Match {
+	if id == want {
+		return MatchOwn
+	}
+
+	return MatchOther
+}
+
+// MatchID returns the relation of a response with an id, which may be empty, to the request with the id want.
+func MatchID(id, want string) Match {
+	switch id {
+	case want:
+		return MatchOwn
+	case "":
+		return MatchUnmarked
+	default:
+		return MatchOther
+	}
 }
 
 // SendError describes how a request failed.
@@ -93,7 +130,7 @@
 // Send sends a request and returns the response once its header has arrived. The caller must close the body.
 // The connection is closed when ctx ends.
 func (p *Pool) Send(ctx context.Context, addr string, req Request) (*http.Response, *SendError) {
-	c, err := p.get(ctx, addr)
+	c, err := p.get(ctx, addr, req.OwnConn)
 	if err != nil {
 		return nil, &SendError{Err: err}
 	}
@@ -130,7 +167,7 @@
 		return fail(true, err)
 	}
 
-	resp.Body = &body{ReadCloser: resp.Body, pool: p, conn: c, resp: resp, up: up, stop: stop}
+	resp.Body = &body{ReadCloser: resp.Body, pool: p, conn: c, resp: resp, up: up, stop: stop, ownConn: req.OwnConn}
 
 	return resp, nil
 }
@@ -143,7 +180,10 @@
 			return nil, err
 		}
 
-		if req.Matches == nil || req.Matches(resp.Header) {
+		first := !c.answered
+		c.answered = true
+
+		if accepts(req, resp, first) {
 			return resp, nil
 		}
 
@@ -156,6 +196,17 @@
 	return nil, errStale
 }
 
+// accepts reports whether a response belongs to a request. first is true for the first one on a connection.
+func accepts(req Request, resp *http.Response, first bool) bool {
+	if req.Match == nil {
+		return true
+	}
+
+	match := req.Match(resp.Header)
+
+	return match == MatchOwn || match == MatchUnmarked && first
+}
+
 // readResponse reads the next final response and skips interim ones.
 func readResponse(c *conn, method string) (*http.Response, error) {
 	c.limiter.limit(maxHeaderBytes)
@@ -208,8 +259,8 @@
 }
 
 // get returns an idle connection that is still usable, or a new one.
-func (p *Pool) get(ctx context.Context, addr string) (*conn, error) {
-	for {
+func (p *Pool) get(ctx context.Context, addr string, own bool) (*conn, error) {
+	for !own {
 		c := p.pop(addr)
 		if c == nil {
 			break
--- a/conns/pool_test.go
+++ b/conns/pool_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -59,7 +60,7 @@
 func get(id string) conns.Request {
 	return conns.Request{
 		Method: http.MethodGet, URI: "/a", Host: "h", Header: http.Header{"Id": {id}},
-		Matches: func(h http.Header) bool { return h.Get("Id") == id },
+		Match: func(h http.Header) conns.Match { return conns.RequireID(h.Get("Id"), id) },
 	}
 }
 
@@ -156,6 +157,68 @@
 	}
 }
 
+// Guards against a second copy of a response without an id that is taken for the response to the next request on the
+// connection, and against rejecting the first response on a connection for having no id.
+func TestUnmarkedResponseIsAcceptedOnlyFirst(t *testing.T) {
+	const unmarked = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 4\r\n\r\nfull"
+
+	addr := serve(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		for k := 0; ; k++ {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+
+			_, _ = io.WriteString(c, unmarked)
+
+			if k > 0 {
+				id := req.Header.Get("Id")
+				_, _ = io.WriteString(c, response(id, "body "+id))
+			}
+		}
+	})
+	p := newPool()
+
+	for i, want := range []string{"full", "body 1", "body 2"} {
+		id := strconv.Itoa(i)
+		req := get(id)
+		req.Match = func(h http.Header) conns.Match { return conns.MatchID(h.Get("Id"), id) }
+
+		body, err := send(t, p, addr, req)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, body, qt.Equals, want)
+	}
+}
+
+// Guards against a request that shares its connection with others although it asks for one of its own.
+func TestOwnConnectionIsNotShared(t *testing.T) {
+	var opened atomic.Int32
+
+	addr := serve(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		opened.Add(1)
+
+		for {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+
+			_, _ = io.WriteString(c, response(req.Header.Get("Id"), "x"))
+		}
+	})
+	p := newPool()
+
+	for _, own := range []bool{false, true, true, false} {
+		req := get("1")
+		req.OwnConn = own
+
+		_, err := send(t, p, addr, req)
+		qt.Assert(t, err, qt.IsNil)
+	}
+
+	qt.Assert(t, opened.Load(), qt.Equals, int32(3))
+}
+
 // Guards against a truncated response that looks complete, with a length, with chunks, or with neither and a
 // reset.
 func TestTruncatedResponses(t *testing.T) {
--- a/entry/hop.go
+++ b/entry/hop.go
@@ -119,8 +119,8 @@
 
 	resp, failure := e.deps.Pool.Send(ctx, c.Addr, conns.Request{
 		Method: req.Method, URI: req.URI, Host: req.Host, Body: req.Body,
-		Header:  encodeHop(req, e.deps.Clock.Now()),
-		Matches: func(h http.Header) bool { return h.Get(hopID) == req.ID },
+		Header: encodeHop(req, e.deps.Clock.Now()),
+		Match:  func(h http.Header) conns.Match { return conns.RequireID(h.Get(hopID), req.ID) },
 	})
 	if failure != nil {
 		return sendFailure(ctx, failure)
--- a/gate/health.go
+++ b/gate/health.go
@@ -156,7 +156,7 @@
 	defer cancel()
 
 	resp, failure := g.deps.Pool.Send(ctx, g.cfg.Addr, conns.Request{
-		Method: http.MethodGet, URI: s.HealthPath, Host: g.cfg.Addr, Header: http.Header{},
+		Method: http.MethodGet, URI: s.HealthPath, Host: g.cfg.Addr, Header: http.Header{}, OwnConn: true,
 	})
 	if failure != nil {
 		g.deps.Log.Warn("health check failed", "cause", failure)
--- a/gate/run.go
+++ b/gate/run.go
@@ -22,8 +22,8 @@
 
 	resp, failure := g.deps.Pool.Send(ctx, g.cfg.Addr, conns.Request{
 		Method: req.Method, URI: req.URI, Host: req.Host, Body: req.Body,
-		Header:  g.header(req, incarnation, start),
-		Matches: g.matchesID(req.ID),
+		Header: g.header(req, incarnation, start),
+		Match:  g.matchesID(req.ID),
 	})
 	if failure != nil {
 		// cancel is deferred, because handleSendFailure checks whether ctx had already ended.
@@ -40,6 +40,7 @@
 	b.serverError = resp.StatusCode >= http.StatusInternalServerError
 
 	if g.refusedByServer(resp) {
+		// This closes the connection, so that no later attempt of the request can get a second copy of the refusal.
 		_ = b.Close()
 
 		r := Refused(spar.ReasonShed, g.Load().MeanServiceTime)
@@ -52,13 +53,10 @@
 	return g.readResponse(ctx, req, resp, b)
 }
 
-// matchesID returns a function that reports whether a response belongs to the request with the id, by the
-// request id that the backend server echoes. A response without a request id is accepted.
-func (g *Gate) matchesID(id string) func(http.Header) bool {
-	return func(h http.Header) bool {
-		echo := h.Get(g.cfg.Names.RequestID)
-
-		return echo == "" || echo == id
+// matchesID returns a function that compares the request id that the backend server echoes with id.
+func (g *Gate) matchesID(id string) func(http.Header) conns.Match {
+	return func(h http.Header) conns.Match {
+		return conns.MatchID(h.Get(g.cfg.Names.RequestID), id)
 	}
 }
 
