--- a/relay/relay.go
+++ b/relay/relay.go
@@ -29,10 +29,9 @@
 )
 
 const (
-	// maxIdle bounds the idle connections to one address, and maxIdleCommands those for commands to the backend
-	// server. poolIdleTimeout is how long they are kept unless the server sends a timeout.
+	// maxIdle bounds the idle connections to one address. poolIdleTimeout is how long they are kept unless the server
+	// sends a timeout.
 	maxIdle                     = 32
-	maxIdleCommands             = 4
 	poolIdleTimeout spar.Millis = 8000
 	// headerTimeout is how long a client may take to send a request's header.
 	headerTimeout spar.Millis = 10_000
@@ -157,7 +156,7 @@
 		StoreTimeout: cfg.StoreTimeout, MaxCommandDelay: cfg.MaxCommandDelay,
 	}, owner.Deps{
 		Clock: deps.Clock, Table: deps.Table, Maps: r.maps, Gate: r.gate, Mesh: r.mesh, Peers: r.peerPool, Log: deps.Log,
-		Commands: r.commands(),
+		Commands: r.commands(pool),
 		Keyed:    r.operator.Keyed, ZoneWithdrawn: r.operator.ZoneWithdrawn,
 		StoreRecovered: r.onStoreRecovered, Registered: r.onRegistered,
 	})
@@ -181,14 +180,11 @@
 
 // commands returns the client for commands to the backend server; nil if it accepts grants in the responses to its
 // heartbeats.
-func (r *Relay) commands() owner.CommandSender {
+func (r *Relay) commands(pool *conns.Pool) owner.CommandSender {
 	if r.cfg.GrantMode != config.GrantsByCall {
 		return nil
 	}
 
-	// A separate pool ensures that a late second response to a request isn't mistaken for the response to a command.
-	pool := conns.New(r.deps.Dial, r.deps.Clock, conns.Options{MaxIdle: maxIdleCommands, IdleTimeout: poolIdleTimeout})
-
 	return r.deps.Adapter.Commands(r.cfg.AppAddr, pool)
 }
 
