--- a/owner/values.go
+++ b/owner/values.go
@@ -5,6 +5,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net"
+	"strconv"
 
 	spar "sardinespar.example/spar"
 	"sardinespar.example/spar/keymap"
@@ -93,15 +95,40 @@
 	Map      keymap.Map    `json:"map"`
 }
 
-// DecodeNode decodes a node's row. A row without a node or a peer address is an error.
+// checkAddr returns an error for an address that can't be connected to.
+func checkAddr(addr string) error {
+	host, port, err := net.SplitHostPort(addr)
+	if err != nil {
+		return fmt.Errorf("parsing address: %w", err)
+	}
+
+	const decimal, portBits = 10, 16
+
+	n, err := strconv.ParseUint(port, decimal, portBits)
+	if err != nil {
+		return fmt.Errorf("parsing port: %w", err)
+	}
+
+	if host == "" || n == 0 {
+		return fmt.Errorf("address %.100q has no host or port", addr)
+	}
+
+	return nil
+}
+
+// DecodeNode decodes a node's row. A row that is not the node's own or has no usable peer address is an error.
 func DecodeNode(row spar.Row) (NodeRow, error) {
 	var n NodeRow
 	if err := json.Unmarshal(row.Value, &n); err != nil {
 		return NodeRow{}, fmt.Errorf("decoding row %s: %w", row.Key, err)
 	}
 
-	if n.Node == "" || n.PeerAddr == "" {
-		return NodeRow{}, fmt.Errorf("row %s has no node or peer address", row.Key)
+	if n.Node == "" || row.Key != nodeKey(n.Node) {
+		return NodeRow{}, fmt.Errorf("row %s is not that of node %.100q", row.Key, n.Node)
+	}
+
+	if err := checkAddr(n.PeerAddr); err != nil {
+		return NodeRow{}, fmt.Errorf("row %s has no usable peer address: %w", row.Key, err)
 	}
 
 	return n, nil
