--- a/keymap/map.go
+++ b/keymap/map.go
@@ -17,6 +17,11 @@
 	To   int `json:"to"`
 }
 
+// Valid reports whether s is a span of the key space.
+func (s Span) Valid() bool {
+	return 0 <= s.From && s.From <= s.To && s.To < Keys
+}
+
 // Covers reports whether o lies within s.
 func (s Span) Covers(o Span) bool {
 	return s.From <= o.From && o.To <= s.To
--- a/owner/beat.go
+++ b/owner/beat.go
@@ -10,6 +10,9 @@
 	"sardinespar.example/spar/keymap"
 )
 
+// maxClockLead is how far ahead of this node's time of day the start of a backend server may lie.
+const maxClockLead spar.Millis = 3_600_000
+
 // rebindTimeout is the maximum time that the response to a new backend server's first heartbeat waits for the table.
 const rebindTimeout spar.Millis = 400
 
@@ -21,6 +24,8 @@
 		return Grant{}, fmt.Errorf("heartbeat of %s names address %s, not %s", b.Incarnation.ID, b.Addr, o.cfg.AppAddr)
 	case b.Service != o.cfg.Service:
 		return Grant{}, fmt.Errorf("heartbeat of %s names service %s, not %s", b.Incarnation.ID, b.Service, o.cfg.Service)
+	case b.Incarnation.StartedMs > o.deps.UnixMillis()+int64(maxClockLead):
+		return Grant{}, fmt.Errorf("heartbeat of %s names start %d, in the future", b.Incarnation.ID, b.Incarnation.StartedMs)
 	}
 
 	if !o.awaitEarlierLease(ctx) {
--- a/owner/cluster_test.go
+++ b/owner/cluster_test.go
@@ -193,7 +193,8 @@
 		AppAddr: m.appAddr(), LeaseDuration: 12_000, RenewInterval: 2500, GrantTTL: 6000, StoreTimeout: 700,
 		MaxGrantTTL: 10_000, MaxCommandDelay: 12_000,
 	}, owner.Deps{
-		Clock: clock, Table: m.c.store, Maps: maps, Gate: g, Mesh: msh, Peers: caller, Log: discard, Commands: commands,
+		Clock: clock, UnixMillis: func() int64 { return time.Now().UnixMilli() }, Table: m.c.store, Maps: maps,
+		Gate: g, Mesh: msh, Peers: caller, Log: discard, Commands: commands,
 		Keyed: func(string) (bool, bool) { return true, true }, ZoneWithdrawn: func(string) bool { return false },
 		StoreRecovered: func() {}, Registered: func() {}, Flaws: m.c.flaws,
 	})
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -56,12 +56,14 @@
 // Deps are the dependencies of an Owner.
 type Deps struct {
 	Clock spar.Clock
-	Table spar.Table
-	Maps  *Maps
-	Gate  *gate.Gate
-	Mesh  *mesh.Mesh
-	Peers peers.Caller
-	Log   *log.Logger
+	// UnixMillis returns the time of day in Unix milliseconds.
+	UnixMillis func() int64
+	Table      spar.Table
+	Maps       *Maps
+	Gate       *gate.Gate
+	Mesh       *mesh.Mesh
+	Peers      peers.Caller
+	Log        *log.Logger
 	// Commands sends commands to the backend server; nil if the server receives its grants in heartbeat responses.
 	Commands CommandSender
 	// Keyed reports whether a service is partitioned by key, and whether that is known yet.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -155,7 +155,8 @@
 		MaxGrantTTL:  cfg.MaxGrantTTL,
 		StoreTimeout: cfg.StoreTimeout, MaxCommandDelay: cfg.MaxCommandDelay,
 	}, owner.Deps{
-		Clock: deps.Clock, Table: deps.Table, Maps: r.maps, Gate: r.gate, Mesh: r.mesh, Peers: r.peerPool, Log: deps.Log,
+		Clock: deps.Clock, UnixMillis: deps.UnixMillis, Table: deps.Table, Maps: r.maps, Gate: r.gate, Mesh: r.mesh,
+		Peers: r.peerPool, Log: deps.Log,
 		Commands: r.commands(pool),
 		Keyed:    r.operator.Keyed, ZoneWithdrawn: r.operator.ZoneWithdrawn,
 		StoreRecovered: r.onStoreRecovered, Registered: r.onRegistered,
