--- a/relay/catchup.go
+++ b/relay/catchup.go
@@ -12,8 +12,9 @@
 )
 
 const (
-	// methodOperator requests what a peer knows of the operators' table.
-	methodOperator = "relay.operator"
+	// methodOperator requests what a peer knows of the operators' table. Its name is that of the method which returned
+	// the rules alone, so that nodes of the builds before and after can call each other.
+	methodOperator = "relay.rules"
 	// operatorPullDelay is how long the store may take to deliver a change that a peer has announced, before the
 	// change is pulled from the peer.
 	operatorPullDelay spar.Millis = 250
