--- a/Makefile
+++ b/Makefile
@@ -5,8 +5,8 @@
 MODULES := . $(wildcard cmd/*) $(wildcard system)
 PROGRAMS := $(notdir $(wildcard cmd/*))
 
-# Tests that stand in KNOWN-RED.txt as "- TestName (./package)". They run apart and don't decide.
-KNOWN_RED := ^($(shell sed -n 's/^- \(Test[A-Za-z0-9]*\) .*/\1/p' KNOWN-RED.txt | paste -sd '|'))$$
+# The tests that stand in KNOWN-RED.txt run apart and don't decide.
+KNOWN_RED := $(shell .ci/known_red pattern)
 
 .PHONY: known-red build test lint fmt tools demo measure clean
 
@@ -15,20 +15,12 @@
 	@for p in $(PROGRAMS); do go build -o bin/$$p ./cmd/$$p || exit 1; done
 
 test:
-	@for m in $(MODULES); do (cd $$m && go test -race -timeout 8m -skip '$(KNOWN_RED)' ./...) || exit 1; done
+	@.ci/known_red check
+	@for m in $(MODULES); do \
+		(cd $$m && go test -race -timeout 8m $(if $(KNOWN_RED),-skip '$(KNOWN_RED)') ./...) || exit 1; done
 
 known-red:
-	@sed -n 's/^- \(Test[A-Za-z0-9]*\) (\(.*\)).*/\2 \1/p' KNOWN-RED.txt | while read -r pkg name; do \
-		(cd "$$(dirname "$$pkg")" && go test -race -timeout 8m -run "^$$name$$" "./$$(basename "$$pkg")") || \
-		echo "$$name is known to be red"; done
-
-tools:
-	@test -x $(GOBIN)/golangci-lint && $(GOBIN)/golangci-lint version 2>/dev/null | grep -q $(LINT_VERSION:v%=%) || \
-		go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION)
-	@test -x $(GOBIN)/gofumpt && $(GOBIN)/gofumpt --version 2>/dev/null | grep -q $(FUMPT_VERSION) || \
-		go install mvdan.cc/gofumpt@$(FUMPT_VERSION)
-	@test -x $(GOBIN)/gopls && $(GOBIN)/gopls version 2>/dev/null | grep -q $(GOPLS_VERSION) || \
-		go install golang.org/x/tools/gopls@$(GOPLS_VERSION)
+	@.ci/known_red run
 
 lint: tools
 	@for m in $(MODULES); do (cd $$m && $(GOBIN)/golangci-lint run --config $(CURDIR)/.golangci.yml ./...) || exit 1; done
