Let a node that knows no other hold its long poll for the full time

Cause: at the start of a fleet every node polled for 4 s, as it knew no other node yet, and later each change of the membership shortened the next poll again, although polls that don't begin together keep their distance by themselves.

Change: a node alone polls for 20 s, since there is none to tell; polls are spread when they begin together, and once when a node first knows of others. Membership is the name now of what was called the fleet.

Tests: go test ./follow -run OneAfter, ./platform -run MuteForAll.

--- a/conns/pool.go
+++ b/conns/pool.go
@@ -258,9 +258,9 @@
 	return nil
 }
 
-// get returns an idle connection that is still usable, or a new one.
-func (p *Pool) get(ctx context.Context, addr string, own bool) (*conn, error) {
-	for !own {
+// get returns an idle connection that is still usable, or a new one. With ownConn it always opens one.
+func (p *Pool) get(ctx context.Context, addr string, ownConn bool) (*conn, error) {
+	for !ownConn {
 		c := p.pop(addr)
 		if c == nil {
 			break
--- a/follow/follower.go
+++ b/follow/follower.go
@@ -43,8 +43,9 @@
 	Clock spar.Clock
 	Table Table
 	Log   *log.Logger
-	// Fleet returns the position of this node among those that follow the table. It may be nil if Apply is not called.
-	Fleet func() Fleet
+	// Membership returns the place of this node among those that follow the table. It may be nil if Apply is not
+	// called.
+	Membership func() Membership
 	// Replace receives the complete table as of a revision, and Apply changed rows. With a ScanInterval, Apply is
 	// not called.
 	Replace func(rows []spar.Row, revision spar.Revision)
@@ -76,9 +77,10 @@
 	revision spar.Revision
 	// complete is true if all rows up to the revision are known, so that only later changes are needed.
 	complete bool
-	// pollWait is how long the store may hold the next long poll, and fleet the position by which that was decided.
+	// pollWait is how long the store may hold the next long poll. alone is true if the node knew no other node when
+	// that was decided.
 	pollWait spar.Millis
-	fleet    Fleet
+	alone    bool
 }
 
 // Run follows the table until ctx ends.
@@ -133,9 +135,9 @@
 	next := position{revision: max(pos.revision, res.revision), complete: f.cfg.ScanInterval <= 0}
 
 	if next.complete {
-		next.fleet = f.deps.Fleet()
-		together := res.complete || len(res.rows) > 0 || pos.pollWait == probeWait || next.fleet != pos.fleet
-		next.pollWait = PollWait(next.fleet, together)
+		m := f.deps.Membership()
+		together := res.complete || len(res.rows) > 0 || pos.pollWait == probeWait || pos.alone
+		next.pollWait, next.alone = PollWait(m, together), m.alone()
 	}
 
 	return next
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -39,24 +39,24 @@
 	}
 }
 
-// position returns this node's position by name among the nodes that are alive.
-func (r *Relay) position() follow.Fleet {
+// membership returns this node's place by name among the nodes that are alive.
+func (r *Relay) membership() follow.Membership {
 	now, timeout := r.deps.Clock.Now(), r.mesh.LivenessTimeout()
-	f := follow.Fleet{Nodes: 1}
+	m := follow.Membership{Nodes: 1}
 
 	for _, p := range r.mesh.Peers() {
 		if !p.Alive(now, timeout) {
 			continue
 		}
 
-		f.Nodes++
+		m.Nodes++
 
 		if p.Node < r.cfg.Node {
-			f.Rank++
+			m.Rank++
 		}
 	}
 
-	return f
+	return m
 }
 
 // onPeerState compares a peer's state with this node's. A peer that knows newer changes shows that this node has
--- a/relay/operator.go
+++ b/relay/operator.go
@@ -33,11 +33,11 @@
 	row spar.Row
 }
 
-func newOperator(deps Deps, fleet func() follow.Fleet) *operator {
+func newOperator(deps Deps, membership func() follow.Membership) *operator {
 	o := &operator{adapter: deps.Adapter, log: deps.Log, zones: zones.New()}
 	table := deps.Adapter.OperatorTable()
 	o.feed = follow.New(follow.Settings{Name: table, Prefix: table + "//"}, follow.Deps{
-		Clock: deps.Clock, Table: deps.Table, Log: deps.Log, Fleet: fleet, Replace: o.replace,
+		Clock: deps.Clock, Table: deps.Table, Log: deps.Log, Membership: membership, Replace: o.replace,
 		Apply: o.apply,
 	})
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -130,7 +130,7 @@
 		cfg: cfg, deps: deps, maps: owner.NewMaps(), mux: peers.NewMux(), traffic: &peers.Traffic{},
 		started: deps.UnixMillis(),
 	}
-	r.operator = newOperator(deps, r.position)
+	r.operator = newOperator(deps, r.membership)
 	r.fleet = r.newFleet()
 
 	names := deps.Adapter.Names()
