Count a crash as newer than the lift that it follows

What could happen where spard serves our own stand-ins: the time of day goes back after a request's suspicion was lifted, or another node whose clock is ahead lifted it. A crash by the request was then older than the lift and was lost, so the request went on to reach backend servers.

Cause: entries of several nodes are ordered by their time of day, and a crash took the bare time. Ruled out for lifts, which did count as newer than what they replace.

Change: both use Registry.Update, which makes a change newer than the known entry.

Test: go test ./crash -run ClockStep failed before (state free instead of suspected).

--- a/crash/detector.go
+++ b/crash/detector.go
@@ -122,13 +122,6 @@
 	return true
 }
 
-// withLift returns a copy of e that is lifted.
-func (e Record) withLift() Record {
-	e.Lifted, e.Victims = true, nil
-
-	return e
-}
-
 // Merge merges the entries of another node. It returns an error if one of them is invalid; the others are merged.
 func (d *Detector) Merge(entries []Record) error {
 	var invalid error
--- a/crash/entry.go
+++ b/crash/entry.go
@@ -89,6 +89,13 @@
 	return e
 }
 
+// withLift returns a copy of e that is lifted.
+func (e Record) withLift() Record {
+	e.Lifted, e.Victims = true, nil
+
+	return e
+}
+
 // validate returns an error for an entry that no node can have written, if nodes write entries that expire after
 // at most maxAge.
 func (e Record) validate(maxAge spar.Millis) error {
--- a/crash/quarantine.go
+++ b/crash/quarantine.go
@@ -148,15 +148,17 @@
 func (q *Quarantine) RecordCrash(ctx context.Context, c spar.Call) bool {
 	now := q.unixMillis()
 	path, _, _ := strings.Cut(c.URI, "?")
-	e := Record{
-		Fingerprint: Fingerprint(c), Service: c.Service.Name, Method: c.Method, Path: path,
-		Idempotent: c.Idempotent, Victims: []spar.NodeID{q.self()}, ChangedMs: now, UntilMs: now + int64(quarantineDuration),
-	}
+	fingerprint := Fingerprint(c)
 
-	before := q.allEntries()[e.Fingerprint]
+	before := q.allEntries()[fingerprint]
 	repeated := before.isActive(now) && slices.Contains(before.Victims, q.self())
 
-	e = q.registry.Merge(e)
+	e := q.registry.Update(fingerprint, func(Record) Record {
+		return Record{
+			Fingerprint: fingerprint, Service: c.Service.Name, Method: c.Method, Path: path, Idempotent: c.Idempotent,
+			Victims: []spar.NodeID{q.self()}, UntilMs: now + int64(quarantineDuration),
+		}
+	})
 	q.recorder.Record(spar.Event{Kind: spar.EventQuarantined, Service: e.Service, Request: c.ID, Detail: e.Fingerprint})
 	q.push(ctx, e)
 
@@ -199,11 +201,9 @@
 	return nil
 }
 
-// lift marks the entry lifted. Its time of change grows, because nodes keep the newest change.
+// lift marks the entry lifted.
 func (q *Quarantine) lift(e Record) {
-	e.ChangedMs, e.Lifted, e.Victims = max(q.unixMillis(), e.ChangedMs+1), true, nil
-
-	q.registry.Merge(e)
+	q.registry.Update(e.Fingerprint, Record.withLift)
 	q.recorder.Record(spar.Event{Kind: spar.EventQuarantined, Service: e.Service, Detail: e.Fingerprint + " lifted"})
 	q.enqueue(e.Fingerprint, true)
 }
