Derive whether a connection is reused from its responses

conns kept two flags, one set when a connection was answered and one when it went back to the pool. No check changes; go test ./conns -run NoAutomaticRetry checks the reported value.

--- a/conns/conn.go
+++ b/conns/conn.go
@@ -68,9 +68,7 @@
 	r       *bufio.Reader
 	// idleUntil is the time until which the idle connection may be reused.
 	idleUntil spar.Millis
-	// used is true if an earlier request was answered on this connection.
-	used bool
-	// answered is true if any response has been read on this connection.
+	// answered is true if a response has been read on this connection.
 	answered bool
 }
 
--- a/conns/pool.go
+++ b/conns/pool.go
@@ -135,6 +135,7 @@
 		return nil, &SendError{Err: err}
 	}
 
+	reused := c.answered
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	fail := func(sent bool, err error) (*http.Response, *SendError) {
 		stop()
@@ -144,7 +145,7 @@
 			err = ctx.Err()
 		}
 
-		return nil, &SendError{Sent: sent, Reused: c.used, Err: err}
+		return nil, &SendError{Sent: sent, Reused: reused, Err: err}
 	}
 
 	if ctx.Err() != nil {
@@ -299,7 +300,6 @@
 
 // put returns a connection to the pool for the time that the server keeps it, or closes it.
 func (p *Pool) put(c *conn, keep spar.Millis) {
-	c.used = true
 	c.idleUntil = p.clock.Now() + keep - idleMargin
 
 	p.mu.Lock()
