--- a/Makefile
+++ b/Makefile
@@ -22,6 +22,14 @@
 known-red:
 	@.ci/known_red run
 
+tools:
+	@test -x $(GOBIN)/golangci-lint && $(GOBIN)/golangci-lint version 2>/dev/null | grep -q $(LINT_VERSION:v%=%) || \
+		go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION)
+	@test -x $(GOBIN)/gofumpt && $(GOBIN)/gofumpt --version 2>/dev/null | grep -q $(FUMPT_VERSION) || \
+		go install mvdan.cc/gofumpt@$(FUMPT_VERSION)
+	@test -x $(GOBIN)/gopls && $(GOBIN)/gopls version 2>/dev/null | grep -q $(GOPLS_VERSION) || \
+		go install golang.org/x/tools/gopls@$(GOPLS_VERSION)
+
 lint: tools
 	@for m in $(MODULES); do (cd $$m && $(GOBIN)/golangci-lint run --config $(CURDIR)/.golangci.yml ./...) || exit 1; done
 
