Serve pipelined requests of callers concurrently

net/http reads the next request of a connection only after the last response, so that one slow request delays all behind it. Package httpd reads ahead within bounds, runs GET and HEAD requests concurrently and sends the responses in order. The outbound listener uses it. Requests of kinds that must not run twice wait until all earlier requests of their connection have been answered.

--- a/config/relay.go
+++ b/config/relay.go
@@ -45,6 +45,17 @@
 	MaxBufferedBytes int
 	// MaxBodyBytes is the longest body of a request, if the rules set no lower limit.
 	MaxBodyBytes int
+	// PipelineDepth is the number of requests of one client connection that may be in flight, and PipelineBytes the
+	// size of their heads and bodies.
+	PipelineDepth int
+	PipelineBytes int
+	// MaxHeadBytes and MaxHeadLines bound the head of a client's request; 0 lines means no limit. HeadTimeout is the
+	// longest time from its first byte to its end.
+	MaxHeadBytes int
+	MaxHeadLines int
+	HeadTimeout  spar.Millis
+	// MinBodyRate is the lowest rate of a client's body in bytes per second; 0 means no limit.
+	MinBodyRate int
 	// MaxRulesAge is how long rules stay in use after a peer has announced newer ones.
 	MaxRulesAge spar.Millis
 	// ShutdownGrace is the time after SIGTERM in which requests in flight may complete.
@@ -119,6 +130,23 @@
 			func(s *RelaySettings, n int) { s.MaxBufferedBytes = n }),
 		integer("requests", "body_bytes", 8<<20, 1, 256<<20, "longest body of a request, if the rules set no lower limit",
 			func(s *RelaySettings, n int) { s.MaxBodyBytes = n }),
+		integer("requests", "pipeline_depth", 16, 1, 1024,
+			"requests of one client connection that may be in flight; 1 reads a request only after the last response",
+			func(s *RelaySettings, n int) { s.PipelineDepth = n }),
+		integer("requests", "pipeline_kib", 64, 1, 65_536,
+			"KiB of the heads and bodies of one client connection's requests in flight; a longer one is served alone",
+			func(s *RelaySettings, n int) { s.PipelineBytes = n << 10 }),
+		integer("requests", "head_kib", 32, 1, 1024, "KiB of the longest head of a client's request",
+			func(s *RelaySettings, n int) { s.MaxHeadBytes = n << 10 }),
+		integer("requests", "head_lines", 0, 0, 1_000_000,
+			"most header lines of a client's request; 0 for no limit",
+			func(s *RelaySettings, n int) { s.MaxHeadLines = n }),
+		millis("requests", "head_ms", 10_000, 100, 600_000,
+			"longest time from the first byte of a client's request to the end of its head",
+			func(s *RelaySettings, v spar.Millis) { s.HeadTimeout = v }),
+		integer("requests", "body_rate", 1024, 0, 1<<30,
+			"lowest rate of a client's body after its first 10 s, in bytes per second; 0 for no limit",
+			func(s *RelaySettings, n int) { s.MinBodyRate = n }),
 		millis("requests", "rules_most_ms", 1500, 100, 60_000,
 			"time that rules stay in use after a peer has announced newer ones; then requests are refused as not run",
 			func(s *RelaySettings, v spar.Millis) { s.MaxRulesAge = v }),
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -15,6 +15,7 @@
 	spar "sardinespar.example/spar"
 	"sardinespar.example/spar/conns"
 	"sardinespar.example/spar/gate"
+	"sardinespar.example/spar/httpd"
 	"sardinespar.example/spar/keymap"
 	"sardinespar.example/spar/mesh"
 	"sardinespar.example/spar/owner"
@@ -131,7 +132,11 @@
 	ctx, cancel := context.WithTimeout(r.Context(), (req.Deadline - arrived).Duration())
 	defer cancel()
 
-	result := e.routeUnlessQuarantined(ctx, req, rule)
+	result, ok := e.serialize(ctx, r, req)
+	if ok {
+		result = e.routeUnlessQuarantined(ctx, req, rule)
+	}
+
 	result.Service = req.Service
 	took := e.deps.Clock.Now() - arrived
 	e.record(req, result, rule, set.Version, took)
@@ -145,6 +150,26 @@
 	e.refuse(w, result)
 }
 
+// serialize lets a request that must not run twice wait until all earlier requests of its connection have been
+// answered: if one of these responses closes the connection, the client sends the request again. If the request's
+// time ends first, it returns false with the result.
+func (e *Entry) serialize(ctx context.Context, r *http.Request, req gate.Request) (gate.Result, bool) {
+	if req.Kind.Repeatable() {
+		return gate.Result{}, true
+	}
+
+	err := httpd.Serialize(ctx)
+
+	switch {
+	case err == nil:
+		return gate.Result{}, true
+	case r.Context().Err() != nil || !errors.Is(err, context.DeadlineExceeded):
+		panic(http.ErrAbortHandler)
+	}
+
+	return gate.Refused(spar.ReasonDeadline, minRetryAfter), false
+}
+
 // parse builds a request from its header and the rule that matches it.
 func (e *Entry) parse(r *http.Request, set *rules.Set, now spar.Millis) (gate.Request, rules.Rule, *rejection) {
 	names := e.cfg.Names
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -20,6 +20,7 @@
 	"sardinespar.example/spar/entry"
 	"sardinespar.example/spar/follow"
 	"sardinespar.example/spar/gate"
+	"sardinespar.example/spar/httpd"
 	"sardinespar.example/spar/mesh"
 	"sardinespar.example/spar/owner"
 	"sardinespar.example/spar/pace"
@@ -33,7 +34,7 @@
 	// sends a timeout.
 	maxIdle                     = 32
 	poolIdleTimeout spar.Millis = 8000
-	// headerTimeout is how long a client may take to send a request's header.
+	// headerTimeout is how long a node or backend server may take to send a request's header.
 	headerTimeout spar.Millis = 10_000
 	// idleTimeout is how long an idle connection from a caller or a node is kept.
 	idleTimeout    spar.Millis = 60_000
@@ -227,8 +228,8 @@
 		wg.Go(func() { run(work) })
 	}
 
-	servers := []*http.Server{
-		r.server(r.countActive(r.entry)), r.server(r.countActive(r.inbound)),
+	servers := []server{
+		r.outbound(r.countActive(r.entry)), r.server(r.countActive(r.inbound)),
 		r.server(r.deps.Adapter.Ready(r.ready)), r.server(r.deps.Adapter.Control(r.owner, r.deps.Log)),
 	}
 	failed := make(chan error, len(servers))
@@ -265,6 +266,21 @@
 	}
 }
 
+// server serves the connections of a listener.
+type server interface {
+	Serve(ln net.Listener) error
+	Close() error
+}
+
+// outbound returns the server of the callers' requests, which callers may pipeline.
+func (r *Relay) outbound(h http.Handler) *httpd.Server {
+	return httpd.New(httpd.Settings{
+		PipelineDepth: r.cfg.PipelineDepth, PipelineBytes: r.cfg.PipelineBytes,
+		HeadBytes: r.cfg.MaxHeadBytes, HeadLines: r.cfg.MaxHeadLines, HeadTimeout: r.cfg.HeadTimeout,
+		IdleTimeout: idleTimeout, BodyRate: r.cfg.MinBodyRate, MaxBodyBytes: int64(r.cfg.MaxBodyBytes),
+	}, httpd.Deps{Clock: r.deps.Clock, Handler: h, Log: r.deps.Log, Tally: r.deps.Tally})
+}
+
 // server returns an HTTP server with the node's limits.
 func (r *Relay) server(h http.Handler) *http.Server {
 	return &http.Server{
@@ -297,7 +313,7 @@
 
 // drain stops in two steps: it announces that the node is leaving while requests are still accepted, and then
 // waits for those in flight. Both steps together take at most ShutdownGrace.
-func (r *Relay) drain(servers []*http.Server) {
+func (r *Relay) drain(servers []server) {
 	start := r.deps.Clock.Now()
 	r.leaving.Store(true)
 	r.deps.Log.Info("leaving", "active", r.active.Load())
