--- a/httpd/body.go
+++ b/httpd/body.go
@@ -25,8 +25,9 @@
 // body is the body of a request. Its connection has no other request in flight.
 type body struct {
 	x *exchange
-	// src is the body as net/http reads it.
-	src io.ReadCloser
+	// parsed is the request as net/http read it, which gets the trailer, and src its body.
+	parsed *http.Request
+	src    io.ReadCloser
 	// length is the length of the body; negative if it is not known.
 	length int64
 	// start is the time of the first read.
@@ -41,12 +42,12 @@
 	released      atomic.Bool
 }
 
-func newBody(x *exchange, expect bool) *body {
+func newBody(x *exchange, parsed *http.Request, expect bool) *body {
 	if x.conn.bodyDone == nil {
 		x.conn.bodyDone = make(chan struct{}, 1)
 	}
 
-	return &body{x: x, src: x.req.Body, length: x.req.ContentLength, expect: expect}
+	return &body{x: x, parsed: parsed, src: parsed.Body, length: parsed.ContentLength, expect: expect}
 }
 
 // Read reads the body. The client gets the interim response that it waits for, if any.
@@ -70,6 +71,7 @@
 	switch {
 	case errors.Is(err, io.EOF):
 		b.ended = true
+		b.x.req.Trailer = b.parsed.Trailer
 		b.done()
 	case err != nil:
 		b.failed = true
--- a/httpd/conn.go
+++ b/httpd/conn.go
@@ -157,7 +157,7 @@
 	x.size, x.held, x.alone = size, held, h.alone()
 
 	if h.hasBody() {
-		x.body = newBody(x, h.expect)
+		x.body = newBody(x, req, h.expect)
 		x.req.Body = x.body
 	}
 
--- a/httpd/exchange.go
+++ b/httpd/exchange.go
@@ -85,7 +85,13 @@
 		}
 	}()
 
-	x.conn.server.deps.Handler.ServeHTTP(x, x.req)
+	// As in net/http, the server answers a request about itself.
+	if x.req.Method == http.MethodOptions && x.req.RequestURI == "*" {
+		x.Header()["Content-Length"] = []string{"0"}
+	} else {
+		x.conn.server.deps.Handler.ServeHTTP(x, x.req)
+	}
+
 	x.finish()
 }
 
--- a/httpd/httpd_test.go
+++ b/httpd/httpd_test.go
@@ -70,6 +70,10 @@
 	qt.Assert(t, c.SetDeadline(time.Now().Add(20*time.Second)), qt.IsNil)
 	t.Cleanup(func() { _ = c.Close() })
 
+	return newClient(t, c)
+}
+
+func newClient(t testing.TB, c net.Conn) *client {
 	return &client{t: t, Conn: c, r: bufio.NewReader(c)}
 }
 
--- a/httpd/response.go
+++ b/httpd/response.go
@@ -176,7 +176,7 @@
 	case "Content-Length", "Transfer-Encoding":
 		return false
 	case "Connection":
-		return !r.closes
+		return !r.closes || !r.x.http11()
 	case "Content-Type":
 		return r.status != http.StatusNotModified
 	}
--- /dev/null
+++ b/httpd/time_test.go
@@ -0,0 +1,319 @@
+package httpd_test
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+	qt "github.com/frankban/quicktest"
+
+	spar "sardinespar.example/spar"
+	"sardinespar.example/spar/fault"
+	"sardinespar.example/spar/httpd"
+)
+
+// inBubble runs a test in virtual time with a connection to a server.
+func inBubble(t *testing.T, h http.HandlerFunc, test func(t *testing.T, c *client)) {
+	t.Helper()
+
+	synctest.Test(t, func(t *testing.T) {
+		pipes := fault.NewPipeNet()
+		s := httpd.New(settings, httpd.Deps{Clock: spar.RuntimeClock(), Handler: h, Log: log.New(io.Discard)})
+		ln := pipes.Listen("a")
+		done := make(chan error, 1)
+
+		go func() { done <- s.Serve(ln) }()
+
+		nc, err := pipes.Dial(t.Context(), "a")
+		qt.Assert(t, err, qt.IsNil)
+
+		test(t, newClient(t, nc))
+
+		_ = nc.Close()
+
+		qt.Check(t, s.Close(), qt.IsNil)
+		qt.Check(t, <-done, qt.Equals, http.ErrServerClosed)
+	})
+}
+
+func answerOK(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "x") }
+
+// Guards against heads that arrive without end: the client is answered with 408 at the limit. A head may use the
+// limit, and it counts from the first byte.
+func TestSlowHead(t *testing.T) {
+	inBubble(t, answerOK, func(t *testing.T, c *client) {
+		for range 3 {
+			time.Sleep(30 * time.Second)
+			c.send("GET / HTTP/1.1\n")
+			time.Sleep(9900 * time.Millisecond)
+			c.send("Host: a\n\n")
+
+			_, body := c.answer("GET")
+			qt.Check(t, body, qt.Equals, "x")
+		}
+
+		start := time.Now()
+
+		c.send("GET / HTTP/1.1\n")
+		time.Sleep(9 * time.Second)
+		c.send("X: y\n")
+
+		resp, _ := c.answer("GET")
+		qt.Check(t, resp.StatusCode, qt.Equals, http.StatusRequestTimeout)
+		qt.Check(t, time.Since(start), qt.Equals, 10*time.Second)
+		c.ended()
+	})
+}
+
+// Guards against an idle connection that is closed too early or never, and one that is closed while a request runs.
+func TestIdleConnection(t *testing.T) {
+	handler := func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(200 * time.Second)
+		qt.Check(t, r.Context().Err(), qt.IsNil)
+		answerOK(w, r)
+	}
+	inBubble(t, handler, func(t *testing.T, c *client) {
+		for range 2 {
+			time.Sleep(59 * time.Second)
+			c.get("/")
+
+			_, body := c.answer("GET")
+			qt.Check(t, body, qt.Equals, "x")
+		}
+
+		start := time.Now()
+
+		c.ended()
+
+		kept := time.Since(start)
+		qt.Check(t, kept >= time.Minute && kept <= 66*time.Second, qt.IsTrue, qt.Commentf("%v", kept))
+	})
+}
+
+// Guards against bodies that are sent so slowly that they hold their memory for as long as the client likes.
+func TestSlowBody(t *testing.T) {
+	handler := func(w http.ResponseWriter, r *http.Request) {
+		if _, err := io.ReadAll(r.Body); errors.Is(err, os.ErrDeadlineExceeded) {
+			w.WriteHeader(http.StatusRequestTimeout)
+		}
+	}
+	inBubble(t, handler, func(t *testing.T, c *client) {
+		// 2 KiB/s is enough.
+		c.send("POST / HTTP/1.1\nHost: a\nContent-Length: 61440\n\n")
+
+		for range 30 {
+			time.Sleep(time.Second)
+			c.send("%s", strings.Repeat("b", 2048))
+		}
+
+		resp, _ := c.answer("POST")
+		qt.Check(t, resp.StatusCode, qt.Equals, http.StatusOK)
+
+		start := time.Now()
+
+		c.send("POST / HTTP/1.1\nHost: a\nContent-Length: 61440\n\n")
+
+		var wg sync.WaitGroup
+		defer wg.Wait()
+
+		wg.Go(func() {
+			for range 60 {
+				time.Sleep(time.Second)
+
+				if _, err := io.WriteString(c, strings.Repeat("b", 512)); err != nil {
+					return
+				}
+			}
+		})
+
+		resp, _ = c.answer("POST")
+		qt.Check(t, resp.StatusCode, qt.Equals, http.StatusRequestTimeout)
+		qt.Check(t, resp.Close, qt.IsTrue)
+		qt.Check(t, time.Since(start) < 21*time.Second, qt.IsTrue, qt.Commentf("%v", time.Since(start)))
+
+		_ = c.Close()
+	})
+}
+
+// Guards against a closed server whose connections and handlers go on.
+func TestCloseCancelsRequests(t *testing.T) {
+	started, canceled := make(chan struct{}), make(chan struct{})
+	s := httpd.New(settings, httpd.Deps{
+		Clock: spar.RuntimeClock(), Log: log.New(io.Discard),
+		Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			close(started)
+			<-r.Context().Done()
+			close(canceled)
+		}),
+	})
+
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+
+	done := make(chan error, 1)
+
+	go func() { done <- s.Serve(ln) }()
+
+	busy, idle := dial(t, ln.Addr().String()), dial(t, ln.Addr().String())
+	busy.get("/")
+	<-started
+	qt.Check(t, s.Close(), qt.IsNil)
+	qt.Check(t, <-done, qt.Equals, http.ErrServerClosed)
+	<-canceled
+	busy.ended()
+	idle.ended()
+	qt.Check(t, s.Serve(ln), qt.Equals, http.ErrServerClosed)
+}
+
+// account is a budget of one connection.
+type account struct {
+	mu                 sync.Mutex
+	limit, taken, most int64
+	client             string
+	closed             bool
+}
+
+// Open returns the account itself.
+func (a *account) Open(client string) httpd.Account {
+	a.client = client
+
+	return a
+}
+
+// Take reserves bytes up to the limit.
+func (a *account) Take(n int64) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+
+	if a.taken+n > a.limit {
+		return false
+	}
+
+	a.taken += n
+	a.most = max(a.most, a.taken)
+
+	return true
+}
+
+// Release returns bytes.
+func (a *account) Release(n int64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+
+	a.taken -= n
+}
+
+// Close records that the connection holds nothing.
+func (a *account) Close() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+
+	a.closed = true
+}
+
+func (a *account) state() (taken, most int64, closed bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+
+	return a.taken, a.most, a.closed
+}
+
+// Guards against memory that is held without being counted, or counted for longer than it is held.
+func TestBudgetCounts(t *testing.T) {
+	release := make(chan struct{})
+	a := &account{limit: 1 << 30}
+	addr := startWith(t, settings, httpd.Deps{Budget: a, Handler: http.HandlerFunc(
+		func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+
+			if r.URL.Path == "/0" {
+				<-release
+			}
+
+			_, _ = io.WriteString(w, strings.Repeat("x", 15<<10))
+		})})
+
+	c := dial(t, addr)
+	c.get("/0")
+	time.Sleep(20 * time.Millisecond)
+
+	one, _, _ := a.state()
+	qt.Check(t, a.client, qt.Equals, "127.0.0.1")
+	c.get("/1", "/2", "/3")
+	time.Sleep(50 * time.Millisecond)
+
+	four, _, _ := a.state()
+	qt.Check(t, four-one >= 3*(16<<10), qt.IsTrue, qt.Commentf("%d %d", one, four))
+	close(release)
+
+	for range 4 {
+		c.answer("GET")
+	}
+
+	c.send("POST / HTTP/1.1\nHost: a\nContent-Length: 200000\n\n%s", strings.Repeat("b", 200_000))
+	c.answer("POST")
+
+	_, most, _ := a.state()
+	qt.Check(t, most > 200_000, qt.IsTrue)
+	c.send("POST / HTTP/1.1\nHost: a\nTransfer-Encoding: chunked\n\n493e0\n%s\n0\n\n", strings.Repeat("b", 300_000))
+	c.answer("POST")
+
+	_, most, _ = a.state()
+	qt.Check(t, most > 300_000, qt.IsTrue)
+	time.Sleep(20 * time.Millisecond)
+
+	idle, _, closed := a.state()
+	qt.Check(t, idle < one, qt.IsTrue)
+	qt.Check(t, closed, qt.IsFalse)
+
+	_ = c.Close()
+
+	time.Sleep(20 * time.Millisecond)
+
+	_, _, closed = a.state()
+	qt.Check(t, closed, qt.IsTrue)
+}
+
+// Guards against a request that is read although there is no memory for it, and one that is refused without the
+// promise that it has not run.
+func TestBudgetRefuses(t *testing.T) {
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if _, err := io.ReadAll(r.Body); errors.Is(err, httpd.ErrMemory) {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	addr := startWith(t, settings, httpd.Deps{Budget: &account{limit: 100_000}, Handler: handler})
+
+	c := dial(t, addr)
+	c.get("/")
+
+	resp, _ := c.answer("GET")
+	qt.Check(t, resp.StatusCode, qt.Equals, http.StatusOK)
+	c.send("POST / HTTP/1.1\nHost: a\nContent-Length: 200000\n\n")
+
+	resp, _ = c.answer("POST")
+	qt.Check(t, resp.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+	qt.Check(t, resp.Header.Get("Retry-After") != "", qt.IsTrue)
+	qt.Check(t, resp.Close, qt.IsTrue)
+
+	c = dial(t, startWith(t, settings, httpd.Deps{Budget: &account{limit: 100_000}, Handler: handler}))
+	go func() {
+		_, _ = io.WriteString(c, "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n493e0\r\n"+
+			strings.Repeat("b", 300_000)+"\r\n0\r\n\r\n")
+	}()
+
+	resp, _ = c.answer("POST")
+	qt.Check(t, resp.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+	qt.Check(t, resp.Close, qt.IsTrue)
+
+	// A connection without memory is closed at once.
+	dial(t, startWith(t, settings, httpd.Deps{Budget: &account{limit: 1000}, Handler: handler})).ended()
+}
