--- a/entry/entry.go
+++ b/entry/entry.go
@@ -248,6 +248,8 @@
 	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
 
 	switch {
+	case errors.Is(err, httpd.ErrMemory):
+		return &rejection{http.StatusServiceUnavailable, "no memory for the body"}
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return &rejection{http.StatusRequestTimeout, "body not received in time"}
 	case err != nil:
--- a/entry/reply.go
+++ b/entry/reply.go
@@ -13,6 +13,8 @@
 const (
 	// staleRulesRetryAfter is the retry delay of a request that is refused because the rules are stale.
 	staleRulesRetryAfter spar.Millis = 300
+	// memoryRetryAfter is the retry delay of a request for whose body there is no memory.
+	memoryRetryAfter spar.Millis = 300
 	// maxRetryAfter is the longest retry delay that is sent to a refused caller.
 	maxRetryAfter spar.Millis = 1000
 )
@@ -41,6 +43,10 @@
 func (e *Entry) reject(w http.ResponseWriter, r *http.Request, bad rejection) {
 	e.deps.Tally.Count("spar_entry_rejected_total")
 
+	if bad.status == http.StatusServiceUnavailable {
+		setRetryAfter(w, memoryRetryAfter)
+	}
+
 	if _, ok := e.failedLog.Allow(); !ok {
 		e.writeText(w, bad.status, bad.cause)
 
@@ -79,7 +85,7 @@
 			after = min(maxRetryAfter, after)
 		}
 
-		w.Header().Set("Retry-After", strconv.FormatFloat(float64(after)/1000, 'f', 3, 64))
+		setRetryAfter(w, after)
 	case result.Reason == spar.ReasonDeadline:
 		status = http.StatusGatewayTimeout
 	}
@@ -87,6 +93,10 @@
 	e.writeText(w, status, string(result.Reason))
 }
 
+func setRetryAfter(w http.ResponseWriter, after spar.Millis) {
+	w.Header().Set("Retry-After", strconv.FormatFloat(float64(after)/1000, 'f', 3, 64))
+}
+
 // writeText writes a response that consists of a status and a line of text.
 func (e *Entry) writeText(w http.ResponseWriter, status int, text string) {
 	if e.deps.Closing() {
