Choose among backend servers by load reports that are weighed by their age

Nodes chose the cheapest of three random servers by reports that are up to 2 s old at 70 nodes. A server that was slowed for some tenths of a second was avoided by all nodes until its next report, so that the others were overrun, and the zone hardly counted, so that two requests in three crossed zones.

Package spread estimates the present load from the report's age, draws servers in proportion to their free capacity, and keeps requests in their zone while it has room. The slowdown that backend servers report in their responses is used, and travels with the load between nodes. requests.spread = sample keeps the earlier choice.

--- a/config/relay.go
+++ b/config/relay.go
@@ -47,6 +47,8 @@
 	MaxBodyBytes int
 	// MaxRulesAge is how long rules stay in use after a peer has announced newer ones.
 	MaxRulesAge spar.Millis
+	// SpreadMode is how a backend server is chosen for requests without a key: SpreadReports or SpreadSample.
+	SpreadMode string
 	// ShutdownGrace is the time after SIGTERM in which requests in flight may complete.
 	ShutdownGrace spar.Millis
 
@@ -64,6 +66,13 @@
 	GrantsByCall      = "call"
 )
 
+// Backend servers for requests without a key are chosen by load reports that are weighed by their age, or as the
+// cheapest of a few random ones.
+const (
+	SpreadReports = "reports"
+	SpreadSample  = "sample"
+)
+
 // RelayKeys returns all settings of a relay in the order of the reference.
 func RelayKeys() []Key[RelaySettings] {
 	return slices.Concat(relayNodeKeys(), relayRequestKeys(), relayLogKeys())
@@ -122,6 +131,10 @@
 		millis("requests", "rules_most_ms", 1500, 100, 60_000,
 			"time that rules stay in use after a peer has announced newer ones; then requests are refused as not run",
 			func(s *RelaySettings, v spar.Millis) { s.MaxRulesAge = v }),
+		choice("requests", "spread", []string{SpreadReports, SpreadSample},
+			"how a backend server is chosen for requests without a key: by load reports that are weighed by their age, "+
+				"or as the cheapest of a few random ones",
+			func(s *RelaySettings, v string) { s.SpreadMode = v }),
 		millis("requests", "grace_ms", 5500, 100, 600_000, "time after SIGTERM in which requests in flight may complete",
 			func(s *RelaySettings, v spar.Millis) { s.ShutdownGrace = v }),
 	}
--- a/entry/choose.go
+++ b/entry/choose.go
@@ -7,6 +7,7 @@
 	spar "sardinespar.example/spar"
 	"sardinespar.example/spar/gate"
 	"sardinespar.example/spar/rules"
+	"sardinespar.example/spar/spread"
 )
 
 const (
@@ -43,6 +44,8 @@
 	// Cold is true if the backend server should get few requests, since it started recently.
 	Cold bool
 	Load gate.Load
+	// LoadAt is when Load was reported, on the local clock.
+	LoadAt spar.Millis
 }
 
 // Tracker keeps statistics of the requests that this node sends to each node: requests in flight, failures and
@@ -54,7 +57,11 @@
 
 // nodeStats are the statistics of one node.
 type nodeStats struct {
-	inFlight     int
+	inFlight int
+	// sent is the number of requests sent since the report at reportedAt, and usual is the usual service time.
+	sent         int
+	reportedAt   spar.Millis
+	usual        spar.Millis
 	failureRate  float64
 	ejectedUntil spar.Millis
 }
@@ -80,7 +87,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
-	t.stats(node).inFlight++
+	n := t.stats(node)
+	n.inFlight++
+	n.sent++
 }
 
 // End counts the end of a request to a node and whether it failed.
@@ -131,8 +140,26 @@
 		slowdown += utilization
 	}
 
-	cost := c.Load.MeanServiceTime*spar.Millis(slowdown) +
-		max(c.Load.MeanServiceTime, minFailureTime)*spar.Millis(failureWeight*n.failureRate)
+	cost := c.Load.MeanServiceTime*spar.Millis(slowdown) + failureCost(c, n.failureRate)
+
+	cost += pathCost(c, kind)
+
+	// A recently started server is ranked as if a request took three times as long, so that it gets fewer.
+	if c.Cold {
+		cost *= 3
+	}
+
+	return cost
+}
+
+// failureCost returns the penalty of a candidate that fails a share of its requests.
+func failureCost(c Candidate, rate float64) spar.Millis {
+	return max(c.Load.MeanServiceTime, minFailureTime) * spar.Millis(failureWeight*rate)
+}
+
+// pathCost returns the penalty of a candidate for the network path to it.
+func pathCost(c Candidate, kind rules.Kind) spar.Millis {
+	var cost spar.Millis
 
 	if !c.SameZone {
 		cost += crossZoneCost
@@ -145,12 +172,60 @@
 		cost += c.Load.Link
 	}
 
-	// A recently started server is ranked as if a request took three times as long, so that it gets fewer.
-	if c.Cold {
-		cost *= 3
+	return cost
+}
+
+// usable returns the candidates that were not yet tried for a request and are not ejected.
+func (t *Tracker) usable(candidates []Candidate, tried map[string]bool, now spar.Millis) []Candidate {
+	list := make([]Candidate, 0, len(candidates))
+
+	for _, c := range candidates {
+		if !tried[c.Node] && !t.Ejected(c.Node, now) {
+			list = append(list, c)
+		}
 	}
 
-	return cost
+	return list
+}
+
+// Spread returns the candidate that package spread chooses among those that were not yet tried for this request and are
+// not ejected. It returns false if there is none.
+func (t *Tracker) Spread(
+	candidates []Candidate, kind rules.Kind, tried map[string]bool, now spar.Millis,
+) (Candidate, bool) {
+	usable := t.usable(candidates, tried, now)
+
+	i := spread.Choose(t.servers(usable, kind, now), rand.Float64)
+	if i < 0 {
+		return Candidate{}, false
+	}
+
+	return usable[i], true
+}
+
+// servers returns what is known of the candidates' backend servers.
+func (t *Tracker) servers(candidates []Candidate, kind rules.Kind, now spar.Millis) []spread.Server {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	list := make([]spread.Server, len(candidates))
+
+	for i, c := range candidates {
+		n := t.stats(c.Node)
+
+		if c.LoadAt != n.reportedAt {
+			n.usual = spread.UsualTime(n.usual, c.Load.MeanServiceTime, c.LoadAt-n.reportedAt)
+			n.sent, n.reportedAt = 0, c.LoadAt
+		}
+
+		list[i] = spread.Server{
+			Slots: c.Load.Slots, Load: c.Load.Running + c.Load.Waiting, ServiceTime: n.usual,
+			Slowdown: float64(c.Load.Slowdown) / 100, Age: now - c.LoadAt, Sent: n.sent, Near: c.SameZone,
+			Penalty: failureCost(c, n.failureRate) + pathCost(c, kind), Cold: c.Cold,
+		}
+	}
+
+	return list
 }
 
 // Best returns the candidate with the lowest cost among a few random ones that were not yet tried for this request and
@@ -160,13 +235,7 @@
 func (t *Tracker) Best(
 	candidates []Candidate, kind rules.Kind, tried map[string]bool, now spar.Millis,
 ) (Candidate, bool) {
-	usable := make([]Candidate, 0, len(candidates))
-
-	for _, c := range candidates {
-		if !tried[c.Node] && !t.Ejected(c.Node, now) {
-			usable = append(usable, c)
-		}
-	}
+	usable := t.usable(candidates, tried, now)
 
 	var (
 		best   Candidate
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -36,6 +36,9 @@
 	MaxBodyBytes int64
 	// MaxRulesAge is how long rules are used after a peer has announced newer ones.
 	MaxRulesAge spar.Millis
+	// SpreadByReports chooses among backend servers without keys by package spread, and otherwise by the lowest cost of
+	// a random sample.
+	SpreadByReports bool
 }
 
 // Deps are the dependencies of an Entry.
--- a/entry/hop.go
+++ b/entry/hop.go
@@ -83,15 +83,15 @@
 // load is as recent as its last request.
 func encodeLoad(l gate.Load) string {
 	return strconv.Itoa(l.Running) + " " + strconv.Itoa(l.Waiting) + " " + strconv.Itoa(l.Slots) + " " +
-		strconv.Itoa(int(l.MeanServiceTime)) + " " + strconv.Itoa(int(l.Link))
+		strconv.Itoa(int(l.MeanServiceTime)) + " " + strconv.Itoa(int(l.Link)) + " " + strconv.Itoa(l.Slowdown)
 }
 
-// decodeLoad reverses encodeLoad.
+// decodeLoad reverses encodeLoad. The slowdown may be missing, since nodes of earlier builds don't send it.
 func decodeLoad(s string) (gate.Load, bool) {
-	var n [5]int
+	var n [6]int
 
 	fields := strings.Fields(s)
-	if len(fields) != len(n) {
+	if len(fields) != len(n) && len(fields) != len(n)-1 {
 		return gate.Load{}, false
 	}
 
@@ -106,6 +106,7 @@
 
 	return gate.Load{
 		Running: n[0], Waiting: n[1], Slots: n[2], MeanServiceTime: spar.Millis(n[3]), Link: spar.Millis(n[4]),
+		Slowdown: n[5],
 	}, true
 }
 
--- a/entry/route.go
+++ b/entry/route.go
@@ -45,7 +45,7 @@
 	)
 
 	for range maxAttempts {
-		c, ok := e.tracker.Best(e.candidates(req.Service), req.Kind, tried, e.deps.Clock.Now())
+		c, ok := e.choose(req, tried)
 		if !ok {
 			break
 		}
@@ -66,6 +66,16 @@
 	return finalResult(last, unknown)
 }
 
+// choose returns the node for the next attempt of a request without a key.
+func (e *Entry) choose(req gate.Request, tried map[string]bool) (Candidate, bool) {
+	candidates, now := e.candidates(req.Service), e.deps.Clock.Now()
+	if e.cfg.SpreadByReports {
+		return e.tracker.Spread(candidates, req.Kind, tried, now)
+	}
+
+	return e.tracker.Best(candidates, req.Kind, tried, now)
+}
+
 // finalResult returns the result of all attempts. Once the outcome of an attempt is unknown, a later refusal
 // doesn't prove that the request has not run.
 func finalResult(r gate.Result, unknown bool) gate.Result {
@@ -139,7 +149,7 @@
 	if u := e.deps.Gate.Upstream(); u.Service == service && u.Ready && !u.Down && !e.deps.ZoneWithdrawn(e.cfg.Zone) {
 		list = append(list, Candidate{
 			Node: e.cfg.Node, InstanceID: u.Incarnation.ID, Local: true, SameZone: true, Cold: u.Cold(now),
-			Load: e.deps.Gate.Load(),
+			Load: e.deps.Gate.Load(), LoadAt: now,
 		})
 	}
 
@@ -147,7 +157,7 @@
 		if p.Service == service && p.Ready && p.Alive(now, timeout) && !e.deps.ZoneWithdrawn(p.Zone) {
 			list = append(list, Candidate{
 				Node: p.Node, Addr: p.InboundAddr, InstanceID: p.ServerIncarnation.ID, SameZone: p.Zone == e.cfg.Zone,
-				Cold: p.ColdMS > now-p.LastHeard, Load: p.Load,
+				Cold: p.ColdMS > now-p.LastHeard, Load: p.Load, LoadAt: p.LoadAt,
 			})
 		}
 	}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -68,6 +68,7 @@
 	queue    *Queue
 	coldRate RateLimiter
 	keys     *KeyLoad
+	slowdown Slowdown
 
 	// logLimiter limits the log lines about requests that were not completed.
 	logLimiter *tally.Limiter
@@ -136,6 +137,7 @@
 func (g *Gate) Load() Load {
 	l := g.queue.Load()
 	l.Link = g.deps.Link.Wait()
+	l.Slowdown = g.slowdown.Percent(g.deps.Clock.Now())
 
 	return l
 }
--- a/gate/queue.go
+++ b/gate/queue.go
@@ -101,6 +101,9 @@
 	Running         int         `json:"running"`
 	Waiting         int         `json:"waiting"`
 	MeanServiceTime spar.Millis `json:"service_ms"`
+	// Slowdown is the ratio in percent of the present service time to the usual one, as the backend server last reported
+	// it; 0 means unknown.
+	Slowdown int `json:"slowdown,omitempty"`
 	// Link is how long the VM's network link is busy with bytes that were written or reserved.
 	Link spar.Millis `json:"link_ms,omitempty"`
 }
--- a/gate/run.go
+++ b/gate/run.go
@@ -38,6 +38,7 @@
 		cancel: cancel,
 	}
 	b.serverError = resp.StatusCode >= http.StatusInternalServerError
+	g.slowdown.Observe(resp.Header.Get(g.cfg.Names.Load), g.deps.Clock.Now())
 
 	if g.refusedByServer(resp) {
 		// This closes the connection, so that no later attempt of the request can get a second copy of the refusal.
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -99,12 +99,15 @@
 	}
 
 	m.mu.Lock()
+	now := m.deps.Clock.Now()
+	loadAt := now
+
 	p, known := m.peers[s.Node]
 	if known && p.NewerThan(s) && p.LastHeard > 0 {
-		s = p.State
+		s, loadAt = p.State, p.LoadAt
 	}
 
-	m.peers[s.Node] = Peer{State: s, LastHeard: m.deps.Clock.Now()}
+	m.peers[s.Node] = Peer{State: s, LastHeard: now, LoadAt: loadAt}
 	m.mu.Unlock()
 
 	m.start(s.Node)
@@ -350,7 +353,7 @@
 	defer m.mu.Unlock()
 
 	if p, ok := m.peers[name]; ok {
-		p.Load = load
+		p.Load, p.LoadAt = load, m.deps.Clock.Now()
 		m.peers[name] = p
 	}
 }
--- a/mesh/state.go
+++ b/mesh/state.go
@@ -64,6 +64,8 @@
 
 	// LastHeard is when the state arrived, on the local clock; 0 if the node is known only from the table.
 	LastHeard spar.Millis
+	// LoadAt is when Load arrived, with a state or with a response, on the local clock.
+	LoadAt spar.Millis
 }
 
 // Alive reports whether the last state of the peer arrived within timeout before now.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -163,7 +163,7 @@
 	})
 	r.entry = entry.New(entry.Settings{
 		Node: cfg.Node, Zone: cfg.Zone, Service: cfg.Service, Names: names, MaxBodyBytes: int64(cfg.MaxBodyBytes),
-		MaxRulesAge: cfg.MaxRulesAge,
+		MaxRulesAge: cfg.MaxRulesAge, SpreadByReports: cfg.SpreadMode == config.SpreadReports,
 	}, entry.Deps{
 		Clock: deps.Clock, Rules: r.operator.Rules, Mesh: r.mesh, Maps: r.maps, Gate: r.gate, Pool: pool,
 		Log: deps.Log, Tally: deps.Tally,
