--- a/headers.go
+++ b/headers.go
@@ -9,6 +9,10 @@
 	Deadline string
 	// Key holds the key of a request to a keyed service.
 	Key string
+	// APIKey holds the API key of a caller, which identifies its tenant. It is never passed on.
+	APIKey string
+	// Tenant names the tenant of a request to a backend server. It is not accepted from callers.
+	Tenant string
 	// Caller names the service of the VM that a request originates from.
 	Caller string
 	// ExpectedInstance names the only backend server that may run the request.
--- a/rules/rule.go
+++ b/rules/rule.go
@@ -43,6 +43,8 @@
 	Attempts int
 	// Priority is the priority of a request; 0 is the highest.
 	Priority int
+	// Public reports whether requests need no API key if the rules contain tenants.
+	Public bool
 }
 
 // Destination returns the service for a request with the hash h. Evenly distributed hashes spread over the destinations
--- a/rules/set.go
+++ b/rules/set.go
@@ -12,6 +12,9 @@
 	services map[string]Service
 	// hosts maps each lower-case host to its rules by path prefix.
 	hosts map[string]map[string]Rule
+	// tenants holds the tenants by name, and tenantNames their names by the digests of their keys.
+	tenants     map[string]Tenant
+	tenantNames map[keyDigest]string
 }
 
 // New returns a set of rules, or an error if one of them is invalid.
