Identify tenants by API key at the entry

Requests could not be attributed to a customer. A node that knows of newer rules refuses it as not run instead, as it does for a missing route. The tenant's priority replaces the rule's. The tenant travels to the gate's node in Spar-Tenant, and the backend server gets it in the deployment's header. Entry and gate remove the key and the tenant's name as sent by the caller, in any case and with underscores in place of hyphens; the gate does so for entry nodes of earlier builds.

net/http reads the rest of a body of up to 256 KiB before it sends a response, so that a 401 would wait for a slow body. The handler turns this off for 401.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -109,7 +109,7 @@
 
 	req, rule, bad := e.parse(r, set, arrived)
 	if bad != nil {
-		if behind && bad.status == http.StatusNotFound {
+		if behind && bad.dependsOnRules() {
 			e.refuseStaleRules(w, r, set, lag)
 
 			return
@@ -159,6 +159,11 @@
 		return gate.Request{}, rules.Rule{}, &rejection{http.StatusNotFound, "no rule for this host and path"}
 	}
 
+	tenant, ok := e.identify(r.Header, set, rule)
+	if !ok {
+		return gate.Request{}, rules.Rule{}, &rejection{http.StatusUnauthorized, "missing or unknown API key"}
+	}
+
 	remaining := rule.Timeout
 
 	if text := r.Header.Get(names.Deadline); text != "" {
@@ -184,10 +189,11 @@
 
 	gate.StripHopHeaders(r.Header)
 	stripInternal(r.Header)
+	gate.StripTenantHeaders(r.Header, names)
 
 	return gate.Request{
 		ID: id, Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: r.Header, Service: service,
-		Caller: e.cfg.Service, Key: key, Kind: rule.Kind, Priority: rule.Priority,
+		Caller: e.cfg.Service, Key: key, Kind: rule.Kind, Priority: priority(rule, tenant), Tenant: tenant.Name,
 		Deadline: now + remaining, Objective: now + min(remaining, objective(rule)),
 	}, rule, nil
 }
@@ -254,7 +260,7 @@
 	}
 
 	e.deps.Log.Log(level, msg, "id", req.ID, "rule", rule.Name, "rules", version, "service", req.Service,
-		"key", req.Key, "map", e.deps.Maps.Revision(req.Service), "node", r.Node, "outcome", r.Outcome,
+		"tenant", req.Tenant, "key", req.Key, "map", e.deps.Maps.Revision(req.Service), "node", r.Node, "outcome", r.Outcome,
 		"reason", r.Reason, "status", r.Status, "tries", r.Attempts, "took_ms", int(took),
 		"left_ms", int(req.Deadline-e.deps.Clock.Now()), "retry_after_ms", int(r.RetryAfter), "detail", r.Detail,
 		"left_out", dropped)
--- a/entry/hop.go
+++ b/entry/hop.go
@@ -24,6 +24,7 @@
 	hopCaller     = "Spar-Caller"
 	hopKey        = "Spar-Key"
 	hopID         = "Spar-Request"
+	hopTenant     = "Spar-Tenant"
 	hopArrived    = "Spar-Arrived"
 	hopRetryAfter = "Spar-Retry-After-Ms"
 	hopDetail     = "Spar-Detail"
@@ -52,6 +53,10 @@
 	h[hopKey] = []string{strconv.Itoa(req.Key)}
 	h[hopID] = []string{req.ID}
 
+	if req.Tenant != "" {
+		h[hopTenant] = []string{req.Tenant}
+	}
+
 	return h
 }
 
@@ -72,6 +77,7 @@
 		ID: r.Header.Get(hopID), Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: r.Header, Body: body,
 		Service: r.Header.Get(hopService), Caller: r.Header.Get(hopCaller), InstanceID: r.Header.Get(hopInstance),
 		Kind: rules.Kind(r.Header.Get(hopKind)), Priority: numbers[2], Key: numbers[3],
+		Tenant:   r.Header.Get(hopTenant),
 		Deadline: now + spar.Millis(numbers[0]), Objective: now + spar.Millis(numbers[1]),
 	}
 	stripInternal(req.Header)
--- a/entry/reply.go
+++ b/entry/reply.go
@@ -23,6 +23,11 @@
 	cause  string
 }
 
+// dependsOnRules reports whether newer rules may serve the request: they may contain the missing route or key.
+func (r rejection) dependsOnRules() bool {
+	return r.status == http.StatusNotFound || r.status == http.StatusUnauthorized
+}
+
 // deliver passes a backend server's response on to the caller.
 func (e *Entry) deliver(w http.ResponseWriter, r gate.Result) {
 	h := w.Header()
@@ -41,6 +46,14 @@
 func (e *Entry) reject(w http.ResponseWriter, r *http.Request, bad rejection) {
 	e.deps.Tally.Count("spar_entry_rejected_total")
 
+	if bad.status == http.StatusUnauthorized {
+		e.deps.Tally.Count("spar_entry_unauthorized_total")
+
+		// Otherwise net/http would read the rest of a short body before it sends the response. A server that does not
+		// need this returns an error.
+		_ = http.NewResponseController(w).EnableFullDuplex()
+	}
+
 	if _, ok := e.failedLog.Allow(); !ok {
 		e.writeText(w, bad.status, bad.cause)
 
--- /dev/null
+++ b/entry/tenant.go
@@ -0,0 +1,33 @@
+package entry
+
+import (
+	"net/http"
+
+	"sardinespar.example/spar/rules"
+)
+
+// identify returns the tenant whose API key a request carries; it has no name if the request carries no valid key. It
+// returns false if the request may not be served without one. Two headers with a key count as no key, even if both are
+// the same, since servers disagree on which of them applies.
+func (e *Entry) identify(h http.Header, set *rules.Set, rule rules.Rule) (rules.Tenant, bool) {
+	if !set.HasTenants() {
+		return rules.Tenant{}, true
+	}
+
+	if values := h.Values(e.cfg.Names.APIKey); len(values) == 1 {
+		if t, ok := set.Tenant(values[0]); ok {
+			return t, true
+		}
+	}
+
+	return rules.Tenant{}, rule.Public
+}
+
+// priority returns the priority of a tenant's request.
+func priority(rule rules.Rule, t rules.Tenant) int {
+	if t.Priority != nil {
+		return *t.Priority
+	}
+
+	return rule.Priority
+}
--- a/gate/request.go
+++ b/gate/request.go
@@ -25,6 +25,8 @@
 	Key      int
 	Kind     rules.Kind
 	Priority int
+	// Tenant is the name of the tenant that sent the request; empty if there is none.
+	Tenant   string
 	Deadline spar.Millis
 	// Objective is the time after which the response is of little use to the caller.
 	Objective spar.Millis
--- a/gate/run.go
+++ b/gate/run.go
@@ -157,6 +157,8 @@
 	}
 
 	StripHopHeaders(h)
+	// Nodes of earlier builds pass on what the caller sent under these names.
+	StripTenantHeaders(h, g.cfg.Names)
 
 	remaining := max(1, int(req.Deadline-now))
 	for _, f := range [][2]string{
@@ -170,6 +172,10 @@
 		}
 	}
 
+	if g.cfg.Names.Tenant != "" && req.Tenant != "" {
+		h.Set(g.cfg.Names.Tenant, req.Tenant)
+	}
+
 	return h
 }
 
@@ -190,6 +196,21 @@
 	}
 }
 
+// StripTenantHeaders removes the caller's API key and the tenant's name, in any spelling that a server may take for
+// that of the header: upper or lower case, and underscores in place of hyphens.
+func StripTenantHeaders(h http.Header, names spar.HeaderNames) {
+	for name := range h {
+		if sameHeader(name, names.APIKey) || sameHeader(name, names.Tenant) {
+			delete(h, name)
+		}
+	}
+}
+
+// sameHeader reports whether two header names differ only in case and in underscores in place of hyphens.
+func sameHeader(a, b string) bool {
+	return len(a) == len(b) && strings.EqualFold(strings.ReplaceAll(a, "_", "-"), strings.ReplaceAll(b, "_", "-"))
+}
+
 // slotBody is the body of a response; closing it frees the request's slot.
 type slotBody struct {
 	io.ReadCloser
