Leave the body after a 401 to the HTTP server

The 401 turned on full duplex, so that net/http would send it before the rest of a slow body. A 401 is again sent like every other early refusal, after up to 256 KiB of the body.

--- a/entry/reply.go
+++ b/entry/reply.go
@@ -48,10 +48,6 @@
 
 	if bad.status == http.StatusUnauthorized {
 		e.deps.Tally.Count("spar_entry_unauthorized_total")
-
-		// Otherwise net/http would read the rest of a short body before it sends the response. A server that does not
-		// need this returns an error.
-		_ = http.NewResponseController(w).EnableFullDuplex()
 	}
 
 	if _, ok := e.failedLog.Allow(); !ok {
