Send the slowdown between nodes in a header of its own

Nodes of earlier builds read a load only if it has exactly five numbers. The slowdown as a sixth made them ignore the load in all responses of newer nodes, so that during an update they knew only the loads in states, up to 2 s old.

The slowdown has its own header now, which earlier builds remove with the other internal ones. The load is as before.

--- /dev/null
+++ b/entry/export_test.go
@@ -0,0 +1,7 @@
+package entry
+
+// SetLoad and GetLoad are tested without two nodes.
+var (
+	SetLoad = setLoad
+	GetLoad = getLoad
+)
--- a/entry/hop.go
+++ b/entry/hop.go
@@ -27,6 +27,7 @@
 	hopArrived    = "Spar-Arrived"
 	hopRetryAfter = "Spar-Retry-After-Ms"
 	hopDetail     = "Spar-Detail"
+	hopSlowdown   = "Spar-Slowdown"
 	hopPrefix     = "Spar-"
 )
 
@@ -83,15 +84,36 @@
 // load is as recent as its last request.
 func encodeLoad(l gate.Load) string {
 	return strconv.Itoa(l.Running) + " " + strconv.Itoa(l.Waiting) + " " + strconv.Itoa(l.Slots) + " " +
-		strconv.Itoa(int(l.MeanServiceTime)) + " " + strconv.Itoa(int(l.Link)) + " " + strconv.Itoa(l.Slowdown)
+		strconv.Itoa(int(l.MeanServiceTime)) + " " + strconv.Itoa(int(l.Link))
 }
 
-// decodeLoad reverses encodeLoad. The slowdown may be missing, since nodes of earlier builds don't send it.
+// setLoad sets the headers of a response that report a backend server's load. The slowdown has a header of its own,
+// since nodes of earlier builds ignore a load of more than five numbers.
+func setLoad(h http.Header, l gate.Load) {
+	h[spar.HeaderLoad] = []string{encodeLoad(l)}
+	h[hopSlowdown] = []string{strconv.Itoa(l.Slowdown)}
+}
+
+// getLoad reverses setLoad. Without a valid slowdown, as from nodes of earlier builds, it is unknown.
+func getLoad(h http.Header) (gate.Load, bool) {
+	l, ok := decodeLoad(h.Get(spar.HeaderLoad))
+	if !ok {
+		return gate.Load{}, false
+	}
+
+	if n, err := strconv.Atoi(h.Get(hopSlowdown)); err == nil && n > 0 {
+		l.Slowdown = n
+	}
+
+	return l, true
+}
+
+// decodeLoad reverses encodeLoad.
 func decodeLoad(s string) (gate.Load, bool) {
-	var n [6]int
+	var n [5]int
 
 	fields := strings.Fields(s)
-	if len(fields) != len(n) && len(fields) != len(n)-1 {
+	if len(fields) != len(n) {
 		return gate.Load{}, false
 	}
 
@@ -106,7 +128,6 @@
 
 	return gate.Load{
 		Running: n[0], Waiting: n[1], Slots: n[2], MeanServiceTime: spar.Millis(n[3]), Link: spar.Millis(n[4]),
-		Slowdown: n[5],
 	}, true
 }
 
@@ -127,7 +148,7 @@
 		return sendFailure(ctx, failure)
 	}
 
-	if l, ok := decodeLoad(resp.Header.Get(spar.HeaderLoad)); ok {
+	if l, ok := getLoad(resp.Header); ok {
 		e.deps.Mesh.UpdateLoad(c.Node, l)
 	}
 
--- a/entry/inbound.go
+++ b/entry/inbound.go
@@ -125,7 +125,7 @@
 
 	h[hopID] = []string{id}
 	h[spar.HeaderOutcome] = []string{string(r.Outcome)}
-	h[spar.HeaderLoad] = []string{encodeLoad(i.gate.Load())}
+	setLoad(h, i.gate.Load())
 
 	if r.Outcome == spar.OutcomeCompleted {
 		i.buffers.copyResponse(w, r)
