Keep cold, failing and unusual servers from getting most requests

Five faults of the choice by reports, each shown by 10 000 choices in a test that failed before: - Of two servers both are always drawn, so an idle cold one won each comparison with a warm one (all requests). It is now used only if it was drawn first. - A cold server without others in its zone got all requests of the zone, as it has free slots. It has no room for the zone now, so that the zone's requests go to all zones. - The same for a server that fails all requests at once. Its room falls to none at a failure rate of one half. - A server whose service time is unknown (0) was taken for one of 1 ms and got 94 % beside four others. The mean of the others is used instead. - A slowdown of 1 % attracted 99.9 % beside four others; it is bounded at one half. A negative age counts as 0.

--- a/entry/choose.go
+++ b/entry/choose.go
@@ -221,7 +221,8 @@
 		list[i] = spread.Server{
 			Slots: c.Load.Slots, Load: c.Load.Running + c.Load.Waiting, ServiceTime: n.usual,
 			Slowdown: float64(c.Load.Slowdown) / 100, Age: now - c.LoadAt, Sent: n.sent, Near: c.SameZone,
-			Penalty: failureCost(c, n.failureRate) + pathCost(c, kind), Cold: c.Cold,
+			FailureRate: n.failureRate,
+			Penalty:     failureCost(c, n.failureRate) + pathCost(c, kind), Cold: c.Cold,
 		}
 	}
 
--- a/spread/spread.go
+++ b/spread/spread.go
@@ -27,6 +27,12 @@
 	reportDecay = 4
 	// coldFactor divides the capacity of a server that has just started.
 	coldFactor = 3
+	// noRoomFailureRate is the share of failed requests from which on a server of the chooser's zone counts as without
+	// room. A server that fails quickly is idle, and would otherwise keep the requests of its zone.
+	noRoomFailureRate = 0.5
+	// minSlowdown bounds a reported slowdown from below. Without a bound, a server that reports 0.01 by mistake gets
+	// nearly all requests.
+	minSlowdown = 0.5
 )
 
 // Server is what a node knows of a backend server when it chooses.
@@ -34,7 +40,7 @@
 	Slots int
 	// Load is the number of requests that were running or waiting at the server when it reported.
 	Load int
-	// ServiceTime is the time that the server usually takes for a request, as UsualTime keeps it.
+	// ServiceTime is the time that the server usually takes for a request, as UsualTime keeps it; 0 means unknown.
 	ServiceTime spar.Millis
 	// Slowdown is the reported ratio of the current service time to the usual one; 0 means unknown.
 	Slowdown float64
@@ -42,6 +48,8 @@
 	Age spar.Millis
 	// Sent is the number of requests that this node has sent to the server since the report.
 	Sent int
+	// FailureRate is the share of this node's requests that the server failed.
+	FailureRate float64
 	// Penalty is added to the expected time, for failures or a longer way.
 	Penalty spar.Millis
 	// Near is true if the server is in the chooser's availability zone.
@@ -68,8 +76,8 @@
 type estimate struct {
 	// load is the expected number of requests running or waiting.
 	load float64
-	// service is the expected service time.
-	service spar.Millis
+	// usual and service are the usual service time and the expected one.
+	usual, service spar.Millis
 	// capacity and room are the requests per millisecond that the server can run, and those that it can run beside its
 	// present load. weight is the room with which it takes part in the choice.
 	capacity, room, weight float64
@@ -93,6 +101,13 @@
 	}
 
 	second := draw(estimates, usable, rnd, first)
+
+	// A cold server is mostly idle and would win the comparison. Of two servers both are always drawn, so the factor in
+	// its free capacity has an effect only on which one is drawn first.
+	if second >= 0 && servers[second].Cold && !servers[first].Cold {
+		return first
+	}
+
 	if second >= 0 && cost(servers[second], estimates[second]) < cost(servers[first], estimates[first]) {
 		return second
 	}
@@ -102,31 +117,50 @@
 
 // estimateAll returns an estimate for each server.
 func estimateAll(servers []Server) []estimate {
-	var load, slots float64
+	var (
+		load, slots, known float64
+		service            spar.Millis
+	)
 
 	for _, s := range servers {
 		load += float64(s.Load)
 		slots += float64(max(1, s.Slots))
+
+		if s.ServiceTime > 0 {
+			service += s.ServiceTime
+			known++
+		}
 	}
 
+	service /= spar.Millis(max(1, known))
+
 	list := make([]estimate, len(servers))
 	for i, s := range servers {
-		list[i] = s.estimate(load / slots)
+		list[i] = s.estimate(load/slots, service)
 	}
 
 	return list
 }
 
-// estimate returns the present state of a server, given the mean utilization of all servers.
-func (s Server) estimate(mean float64) estimate {
+// estimate returns the present state of a server, given the means of all servers: their utilization and their service
+// time, which is used if that of the server is unknown.
+func (s Server) estimate(mean float64, meanService spar.Millis) estimate {
 	slots := float64(max(1, s.Slots))
-	service := max(1, s.ServiceTime)
+
+	usual := s.ServiceTime
+	if usual <= 0 {
+		usual = meanService
+	}
+
+	usual = max(1, usual)
+	age := float64(max(0, s.Age))
+	service := usual
 
 	if s.Slowdown > 0 {
-		service *= spar.Millis(1 + (s.Slowdown-1)*math.Exp(-float64(s.Age/slowdownLife)))
+		service *= spar.Millis(1 + (max(minSlowdown, s.Slowdown)-1)*math.Exp(-age/float64(slowdownLife)))
 	}
 
-	trust := math.Exp(-reportDecay * float64(s.Age/service))
+	trust := math.Exp(-reportDecay * age / float64(service))
 	load := mean*slots + (float64(s.Load)-mean*slots)*trust + float64(s.Sent)
 
 	perSlot := 1 / float64(service)
@@ -135,19 +169,25 @@
 	}
 
 	return estimate{
-		load: load, service: service, capacity: slots * perSlot, room: max(0, slots-load) * perSlot,
+		load: load, usual: usual, service: service, capacity: slots * perSlot, room: max(0, slots-load) * perSlot,
 		weight: max(minFree*slots, slots-load) * perSlot,
 	}
 }
 
-// nearShare returns the probability with which a request stays in the chooser's zone.
+// nearShare returns the probability with which a request stays in the chooser's zone. Cold and failing servers have no
+// room for it: if they are the only ones of the zone, its requests go to all zones.
 func nearShare(servers []Server, estimates []estimate) float64 {
 	var room, capacity float64
 
 	for i, s := range servers {
-		if s.Near {
-			room += estimates[i].room
-			capacity += estimates[i].capacity
+		if !s.Near {
+			continue
+		}
+
+		capacity += estimates[i].capacity
+
+		if !s.Cold {
+			room += estimates[i].room * max(0, 1-s.FailureRate/noRoomFailureRate)
 		}
 	}
 
@@ -192,7 +232,5 @@
 	slots := float64(max(1, s.Slots))
 	utilization := e.load / slots
 	waiting := max(0, e.load+1-slots) / slots
-	usual := max(1, s.ServiceTime)
-
-	return float64(e.service/usual)*(1+squareWeight*utilization*utilization+waiting) + float64(s.Penalty/usual)
+	return float64(e.service/e.usual)*(1+squareWeight*utilization*utilization+waiting) + float64(s.Penalty/e.usual)
 }
--- a/spread/spread_test.go
+++ b/spread/spread_test.go
@@ -380,3 +380,57 @@
 	cold, idle, busy := servers[2].Sent, servers[1].Sent, servers[0].Sent
 	qt.Check(t, idle > cold && idle > busy && cold > 0 && busy > 0, qt.IsTrue, qt.Commentf("%v", servers))
 }
+
+// choices returns how often each server is chosen for 10 000 requests.
+func choices(servers ...spread.Server) []int {
+	const requests = 10_000
+
+	rnd := rand.New(rand.NewPCG(7, 8))
+	counts := make([]int, len(servers))
+
+	for range requests {
+		counts[spread.Choose(servers, rnd.Float64)]++
+	}
+
+	return counts
+}
+
+// Guards against a cold server that gets most requests since it is idle: with one other server both are always
+// compared, and a zone that has no other server would send it all requests.
+func TestColdServerGetsFewRequests(t *testing.T) {
+	warm := spread.Server{Slots: slots, Load: 3, ServiceTime: work, Near: true}
+	cold := spread.Server{Slots: slots, ServiceTime: work, Near: true, Cold: true}
+	far := spread.Server{Slots: slots, Load: 3, ServiceTime: work, Penalty: 4}
+
+	n := choices(warm, cold)
+	qt.Check(t, n[1] > 0 && n[1] < n[0]*2/3, qt.IsTrue, qt.Commentf("%v", n))
+
+	n = choices(cold, far, far, far, far)
+	qt.Check(t, n[0] > 0 && n[0] < n[1]*2/3, qt.IsTrue, qt.Commentf("%v", n))
+}
+
+// Guards against a server that fails all requests, is idle therefore, and keeps all requests of its zone.
+func TestFailingServerDoesNotKeepItsZone(t *testing.T) {
+	failing := spread.Server{Slots: slots, ServiceTime: work, Near: true, FailureRate: 1, Penalty: 1500}
+	far := spread.Server{Slots: slots, Load: 3, ServiceTime: work, Penalty: 4}
+
+	n := choices(failing, far, far, far, far)
+	qt.Check(t, n[0] < n[1]/3, qt.IsTrue, qt.Commentf("%v", n))
+}
+
+// Guards against servers that get nearly all requests, since nothing or something impossible is known of them.
+func TestUnusualReportsDontAttractRequests(t *testing.T) {
+	usual := spread.Server{Slots: slots, Load: 3, ServiceTime: work, Near: true}
+
+	for name, s := range map[string]spread.Server{
+		"unknown":           {Near: true},
+		"slowdown 1 %":      {Slots: slots, Load: 3, ServiceTime: work, Near: true, Slowdown: 0.01},
+		"report from later": {Slots: slots, Load: 3, ServiceTime: work, Near: true, Age: -1e9},
+	} {
+		n := choices(s, usual, usual, usual, usual)
+		qt.Check(t, n[0] > 0 && n[0] < 6000, qt.IsTrue, qt.Commentf("%s: %v", name, n))
+	}
+
+	n := choices(spread.Server{}, spread.Server{})
+	qt.Check(t, n[0] > 4000 && n[1] > 4000, qt.IsTrue, qt.Commentf("%v", n))
+}
