Count the node's unanswered requests whatever the age of a report

A server that never answers sends no loads with responses, and an old state counts for nothing, so that it looked as idle as the mean of all servers and got new requests at each state. Its estimated load is now at least the number of the node's own unanswered requests. With many nodes that each have few requests at a server, this changes little.

A request that observed an older report after another had observed a newer one set the number of sent requests back to 0 and made the usual service time move backwards. Only newer reports are observed now.

TestSpreadAvoidsServersThatDontAnswer and TestSpreadKeepsSentRequestsAfterAnOlderReport failed before.

--- a/entry/choose.go
+++ b/entry/choose.go
@@ -213,7 +213,8 @@
 	for i, c := range candidates {
 		n := t.stats(c.Node)
 
-		if c.LoadAt != n.reportedAt {
+		// Another request may have observed a newer report between this one's list of candidates and now.
+		if c.LoadAt > n.reportedAt {
 			n.usual = spread.UsualTime(n.usual, c.Load.MeanServiceTime, c.LoadAt-n.reportedAt)
 			n.sent, n.reportedAt = 0, c.LoadAt
 		}
@@ -221,8 +222,8 @@
 		list[i] = spread.Server{
 			Slots: c.Load.Slots, Load: c.Load.Running + c.Load.Waiting, ServiceTime: n.usual,
 			Slowdown: float64(c.Load.Slowdown) / 100, Age: now - c.LoadAt, Sent: n.sent, Near: c.SameZone,
-			FailureRate: n.failureRate,
-			Penalty:     failureCost(c, n.failureRate) + pathCost(c, kind), Cold: c.Cold,
+			InFlight: n.inFlight, FailureRate: n.failureRate,
+			Penalty: failureCost(c, n.failureRate) + pathCost(c, kind), Cold: c.Cold,
 		}
 	}
 
--- a/entry/choose_test.go
+++ b/entry/choose_test.go
@@ -251,3 +251,53 @@
 	qt.Assert(t, retries <= nodes*(perNode*maxRatio+slackPerNode), qt.IsTrue, qt.Commentf("%d retries", retries))
 	qt.Assert(t, retries >= nodes*perNode/20, qt.IsTrue, qt.Commentf("%d retries", retries))
 }
+
+// Guards against a server that never answers and still gets requests, since its state has become old. The node's own
+// unanswered requests are known, whatever the age of the report.
+func TestSpreadAvoidsServersThatDontAnswer(t *testing.T) {
+	tracker := entry.NewTracker()
+	load := gate.Load{Slots: slots, MeanServiceTime: work}
+
+	for range 3 * slots {
+		tracker.Begin("silent")
+	}
+
+	for i := range 100 {
+		now := spar.Millis(1000 * (i + 1))
+		got, ok := tracker.Spread([]entry.Candidate{
+			{Node: "silent", SameZone: true, Load: load, LoadAt: now - 500},
+			{Node: "answers", SameZone: true, Load: load, LoadAt: now - 500},
+		}, rules.Safe, nil, now)
+		qt.Assert(t, ok, qt.IsTrue)
+		qt.Assert(t, got.Node, qt.Equals, "answers")
+	}
+}
+
+// Guards against an older report that arrives with a request's list of candidates after a newer one was used, and
+// makes the node forget the requests that it has sent since.
+func TestSpreadKeepsSentRequestsAfterAnOlderReport(t *testing.T) {
+	tracker := entry.NewTracker()
+	load := gate.Load{Slots: slots, MeanServiceTime: work}
+	choose := func(reported spar.Millis) string {
+		got, _ := tracker.Spread([]entry.Candidate{
+			{Node: "busy", SameZone: true, Load: load, LoadAt: reported},
+			{Node: "idle", SameZone: true, Load: load, LoadAt: reported},
+		}, rules.Safe, nil, 1010)
+
+		return got.Node
+	}
+
+	choose(1000)
+
+	// The requests have ended without a report, so that only the number sent shows them.
+	for range slots {
+		tracker.Begin("busy")
+		tracker.End("busy", false)
+	}
+
+	choose(990)
+
+	for range 100 {
+		qt.Assert(t, choose(1000), qt.Equals, "idle")
+	}
+}
--- a/spread/spread.go
+++ b/spread/spread.go
@@ -48,6 +48,8 @@
 	Age spar.Millis
 	// Sent is the number of requests that this node has sent to the server since the report.
 	Sent int
+	// InFlight is the number of requests of this node that the server has not yet answered.
+	InFlight int
 	// FailureRate is the share of this node's requests that the server failed.
 	FailureRate float64
 	// Penalty is added to the expected time, for failures or a longer way.
@@ -162,6 +164,7 @@
 
 	trust := math.Exp(-reportDecay * age / float64(service))
 	load := mean*slots + (float64(s.Load)-mean*slots)*trust + float64(s.Sent)
+	load = max(load, float64(s.InFlight))
 
 	perSlot := 1 / float64(service)
 	if s.Cold {
--- a/spread/spread_test.go
+++ b/spread/spread_test.go
@@ -82,6 +82,7 @@
 	slowdown float64
 	at       spar.Millis
 	sent     int
+	inFlight int
 	usual    spar.Millis
 }
 
@@ -190,6 +191,7 @@
 		node := r.rnd.IntN(len(r.views))
 		i := r.choose(node)
 		r.views[node][i].sent++
+		r.views[node][i].inFlight++
 		r.trackers[node].Begin(fmt.Sprint(i))
 		r.add(networkTime, eventStart, job{node: node, server: i, began: r.now})
 		r.add(spar.Millis(r.rnd.ExpFloat64()/r.rate), eventArrival, job{})
@@ -240,6 +242,7 @@
 	s.running--
 	s.mean += 0.05 * (float64(r.now-j.ran) - s.mean)
 	r.startWaiting(j.server)
+	r.views[j.node][j.server].inFlight--
 	r.learn(j.node, j.server)
 	r.trackers[j.node].End(fmt.Sprint(j.server), false)
 
@@ -256,7 +259,7 @@
 
 func (r *replay) learn(node, i int) {
 	last := r.views[node][i]
-	v := view{load: r.report(i), at: r.now, slowdown: 1}
+	v := view{load: r.report(i), at: r.now, slowdown: 1, inFlight: last.inFlight}
 	v.usual = spread.UsualTime(last.usual, v.load.MeanServiceTime, r.now-last.at)
 	if r.servers[i].slowed {
 		v.slowdown = noiseFactor
@@ -287,7 +290,7 @@
 	for i, v := range r.views[node] {
 		servers[i] = spread.Server{
 			Slots: v.load.Slots, Load: v.load.Running + v.load.Waiting, ServiceTime: v.usual,
-			Slowdown: v.slowdown, Age: r.now - v.at, Sent: v.sent, Near: true,
+			Slowdown: v.slowdown, Age: r.now - v.at, Sent: v.sent, InFlight: v.inFlight, Near: true,
 		}
 	}
 
