Compare the room of zones, and estimate the load of each apart

A full zone was not seen when its reports were old, since the mean of all servers took their place; and when all zones were full, requests crossed between them for nothing. The chooser's zone and the others now have a mean each, and requests cross only as far as the other zones have more room.

--- a/spread/spread.go
+++ b/spread/spread.go
@@ -16,6 +16,8 @@
 	// there. Below it, the part that goes to all zones grows in proportion, since a limit that switches all requests at
 	// once makes the zones overrun each other in turns.
 	nearReserve = 0.3
+	// minRoom is a free share of a zone that counts as little, if two zones are compared that have almost no room.
+	minRoom = 0.05
 	// squareWeight is the weight of the squared utilization in the assumed slowdown of a server, since some servers slow
 	// down under load.
 	squareWeight = 0.6
@@ -88,7 +90,7 @@
 // Choose returns the index of the server to use, or -1 if there is none. rnd returns random numbers from 0 to 1.
 //
 // The requests that were running when a server reported have ended after about one service time, so an old report says
-// little about the server: it counts less the older it is, and the mean of all servers takes its place. Requests that
+// little about the server: it counts less the older it is, and the mean of its zone takes its place. Requests that
 // the node itself has sent since then are known, and are added. Two servers are drawn with probabilities in proportion
 // to their free capacity, and the one that would complete the request first is used. Comparing all servers instead
 // would send the requests of all nodes to the same one until its next report.
@@ -119,33 +121,62 @@
 
 // estimateAll returns an estimate for each server.
 func estimateAll(servers []Server) []estimate {
-	var (
-		load, slots, known float64
-		service            spar.Millis
-	)
+	var near, far utilization
 
 	for _, s := range servers {
-		load += float64(s.Load)
-		slots += float64(max(1, s.Slots))
-
-		if s.ServiceTime > 0 {
-			service += s.ServiceTime
-			known++
+		if s.Near {
+			near.add(s)
+		} else {
+			far.add(s)
 		}
 	}
 
-	service /= spar.Millis(max(1, known))
-
+	service := meanServiceTime(servers)
 	list := make([]estimate, len(servers))
+
 	for i, s := range servers {
-		list[i] = s.estimate(load/slots, service)
+		mean := far.mean()
+		if s.Near {
+			mean = near.mean()
+		}
+
+		list[i] = s.estimate(mean, service)
 	}
 
 	return list
 }
 
-// estimate returns the present state of a server, given the means of all servers: their utilization and their service
-// time, which is used if that of the server is unknown.
+// meanServiceTime returns the mean service time of the servers for which it is known.
+func meanServiceTime(servers []Server) spar.Millis {
+	var sum, known spar.Millis
+
+	for _, s := range servers {
+		if s.ServiceTime > 0 {
+			sum += s.ServiceTime
+			known++
+		}
+	}
+
+	return sum / max(1, known)
+}
+
+// utilization is the reported load and the slots of some servers. The chooser's zone and the others are kept apart,
+// since a zone stays full for longer than the report of one server means anything.
+type utilization struct {
+	load, slots float64
+}
+
+func (u *utilization) add(s Server) {
+	u.load += float64(s.Load)
+	u.slots += float64(max(1, s.Slots))
+}
+
+func (u *utilization) mean() float64 {
+	return u.load / max(1, u.slots)
+}
+
+// estimate returns the present state of a server, given the mean utilization of its zone, and the mean service time of
+// all servers, which is used if that of the server is unknown.
 func (s Server) estimate(mean float64, meanService spar.Millis) estimate {
 	slots := float64(max(1, s.Slots))
 
@@ -178,27 +209,46 @@
 }
 
 // nearShare returns the probability with which a request stays in the chooser's zone. Cold and failing servers have no
-// room for it: if they are the only ones of the zone, its requests go to all zones.
+// room for it: if they are the only ones of the zone, its requests go to all zones. If the other zones have as little
+// room, crossing over would only cost bytes.
 func nearShare(servers []Server, estimates []estimate) float64 {
-	var room, capacity float64
+	var near, far zoneRoom
 
 	for i, s := range servers {
-		if !s.Near {
-			continue
+		if s.Near {
+			near.add(s, estimates[i])
+		} else {
+			far.add(s, estimates[i])
 		}
+	}
+
+	if near.capacity <= 0 {
+		return 0
+	}
 
-		capacity += estimates[i].capacity
+	return max(near.share()/nearReserve, (near.share()+minRoom)/(far.share()+minRoom)-minRoom)
+}
 
-		if !s.Cold {
-			room += estimates[i].room * max(0, 1-s.FailureRate/noRoomFailureRate)
-		}
+// zoneRoom is the capacity of some servers and its part that is free.
+type zoneRoom struct {
+	capacity, room float64
+}
+
+func (z *zoneRoom) add(s Server, e estimate) {
+	z.capacity += e.capacity
+
+	if !s.Cold {
+		z.room += e.room * max(0, 1-s.FailureRate/noRoomFailureRate)
 	}
+}
 
-	if capacity <= 0 {
+// share returns the free share of the capacity.
+func (z *zoneRoom) share() float64 {
+	if z.capacity <= 0 {
 		return 0
 	}
 
-	return room / capacity / nearReserve
+	return z.room / z.capacity
 }
 
 // draw returns a random server that is usable and isn't except, with a probability in proportion to its free capacity.
--- a/spread/spread_test.go
+++ b/spread/spread_test.go
@@ -331,13 +331,14 @@
 	}
 }
 
-// shareNear returns the share of requests that stay in the chooser's zone, at a load of its servers and the others.
-func shareNear(nearLoad, farLoad int) float64 {
+// shareNear returns the share of requests that stay in the chooser's zone, at a load of its servers and the others that
+// was reported at some age.
+func shareNear(nearLoad, farLoad int, age spar.Millis) float64 {
 	servers := []spread.Server{
-		{Slots: slots, Load: nearLoad, ServiceTime: work, Near: true},
-		{Slots: slots, Load: nearLoad, ServiceTime: work, Near: true},
-		{Slots: slots, Load: farLoad, ServiceTime: work},
-		{Slots: slots, Load: farLoad, ServiceTime: work},
+		{Slots: slots, Load: nearLoad, ServiceTime: work, Age: age, Near: true},
+		{Slots: slots, Load: nearLoad, ServiceTime: work, Age: age, Near: true},
+		{Slots: slots, Load: farLoad, ServiceTime: work, Age: age},
+		{Slots: slots, Load: farLoad, ServiceTime: work, Age: age},
 	}
 	rnd := rand.New(rand.NewPCG(3, 4))
 	near := 0
@@ -353,15 +354,18 @@
 	return float64(near) / requests
 }
 
-// Guards against requests that cross zones although their own has room, and against a zone that is overrun while
-// another has room.
+// Guards against requests that cross zones although their own has room or the others have none, and against a zone that
+// is overrun while another has room. A single old report says little, but those of a whole zone do.
 func TestRequestsStayInTheirZoneWhileItHasRoom(t *testing.T) {
-	qt.Check(t, shareNear(0, 0), qt.Equals, 1.0)
-	qt.Check(t, shareNear(6, 0), qt.Equals, 1.0)
-
-	half, full := shareNear(8, 2), shareNear(slots, 2)
-	qt.Check(t, half < 1, qt.IsTrue)
-	qt.Check(t, full < half, qt.IsTrue, qt.Commentf("%.2f, %.2f", full, half))
+	for _, age := range []spar.Millis{0, 1000} {
+		comment := qt.Commentf("reports of %v ms", age)
+		qt.Check(t, shareNear(0, 0, age), qt.Equals, 1.0, comment)
+		qt.Check(t, shareNear(6, 0, age), qt.Equals, 1.0, comment)
+		qt.Check(t, shareNear(2*slots, 2*slots, age) > 0.9, qt.IsTrue, comment)
+
+		half, full := shareNear(8, 2, age), shareNear(2*slots, 2, age)
+		qt.Check(t, half < 1 && full < half, qt.IsTrue, qt.Commentf("%.2f, %.2f, %v", full, half, age))
+	}
 }
 
 // Guards against a choice that fails without servers, and against one that sends all requests of a burst to the server
