Let pipelined requests wait for a part of their objective only

Requests of the highest priority waited for a slot until their deadline, since they were taken for calls of running work. Clients of one deployment pipeline requests of that priority: with a hot key each waited for up to a second, and all responses behind it on the connection were late. A pipelined request is now served within three fifths of the time to its objective, or refused.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -223,6 +223,7 @@
 		ID: id, Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: r.Header, Service: service,
 		Caller: e.cfg.Service, Key: key, Kind: rule.Kind, Priority: priority(rule, tenant), Tenant: tenant.Name,
 		Deadline: now + remaining, Objective: now + min(remaining, objective(rule)),
+		Pipelined: httpd.Pipelined(r.Context()),
 	}, rule, nil
 }
 
--- a/entry/hop.go
+++ b/entry/hop.go
@@ -25,6 +25,7 @@
 	hopKey        = "Spar-Key"
 	hopID         = "Spar-Request"
 	hopTenant     = "Spar-Tenant"
+	hopPipelined  = "Spar-Pipelined"
 	hopArrived    = "Spar-Arrived"
 	hopRetryAfter = "Spar-Retry-After-Ms"
 	hopDetail     = "Spar-Detail"
@@ -58,6 +59,10 @@
 		h[hopTenant] = []string{req.Tenant}
 	}
 
+	if req.Pipelined {
+		h[hopPipelined] = []string{"1"}
+	}
+
 	return h
 }
 
@@ -80,6 +85,7 @@
 		Kind: rules.Kind(r.Header.Get(hopKind)), Priority: numbers[2], Key: numbers[3],
 		Tenant:   r.Header.Get(hopTenant),
 		Deadline: now + spar.Millis(numbers[0]), Objective: now + spar.Millis(numbers[1]),
+		Pipelined: r.Header.Get(hopPipelined) != "",
 	}
 	stripInternal(req.Header)
 
--- a/gate/decide_test.go
+++ b/gate/decide_test.go
@@ -165,6 +165,32 @@
 	}
 }
 
+// Guards against a pipelined request that waits for a slot until its objective, so that the responses to all requests
+// behind it are late. A pipelined request comes from a client, so the highest priority doesn't make it a call either.
+func TestPipelinedRequestsWaitForLess(t *testing.T) {
+	c := qt.New(t)
+	m := &manualClock{}
+
+	// With one slot and 50 ms per request, 3 requests fit into three fifths of 300 ms.
+	for priority := range 3 {
+		q := gate.NewQueue(m.clock())
+		admitted := 0
+
+		for range 50 {
+			w := &gate.Waiter{Priority: priority, Objective: 300, Deadline: 1000, Pipelined: true}
+
+			ok, after := q.Enter(w)
+			if ok {
+				admitted++
+			} else {
+				c.Assert(after > 0, qt.IsTrue)
+			}
+		}
+
+		c.Check(admitted, qt.Equals, 3)
+	}
+}
+
 // Guards against the measured rate staying too low in the first seconds after the first request.
 func TestKeyLoadRateSoonAfterFirstRequest(t *testing.T) {
 	c := qt.New(t)
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -196,7 +196,9 @@
 		return r
 	}
 
-	w := &Waiter{Priority: req.Priority, Kind: req.Kind, Objective: req.Objective, Deadline: req.Deadline}
+	w := &Waiter{
+		Priority: req.Priority, Kind: req.Kind, Objective: req.Objective, Deadline: req.Deadline, Pipelined: req.Pipelined,
+	}
 	if ok, after := g.queue.Enter(w); !ok {
 		return Refused(spar.ReasonShed, after)
 	}
--- a/gate/queue.go
+++ b/gate/queue.go
@@ -19,6 +19,9 @@
 	// times of its class. A call that running work depends on is still useful then; the bound keeps other
 	// callers from waiting unnecessarily.
 	maxLateWait = 2
+	// pipelinedShare is the share of the time to its objective within which a pipelined request must be served. The
+	// responses behind it wait as well, and its own response may wait for those before it.
+	pipelinedShare = 0.6
 )
 
 // Class groups requests with similar service times. Calls from running work are much shorter than
@@ -34,6 +37,8 @@
 	Kind      rules.Kind
 	Objective spar.Millis
 	Deadline  spar.Millis
+	// Pipelined reports whether other responses wait for the response to this request.
+	Pipelined bool
 	// arrival is the sequence number of the request; it decides between otherwise equal requests.
 	arrival int64
 	// admitted is closed once the request has a slot.
@@ -145,7 +150,12 @@
 
 	now := q.clock.Now()
 	service := spar.Millis(q.serviceTime(w.class()))
-	w.late = w.Priority > 0 && w.Objective <= now
+	w.late = !w.neededByRunningWork() && w.Objective <= now
+
+	if w.Pipelined && !w.late {
+		w.Objective = now + (w.Objective-now)*pipelinedShare
+	}
+
 	wait := q.estimateWaitLocked(w)
 	w.startBy = w.latestStart(now, service)
 
@@ -172,11 +182,16 @@
 	return spar.Millis(ahead / float64(q.slots))
 }
 
-// latestEnd returns the latest completion time that justifies waiting. Requests of the highest priority come
-// from work that is already running, for which a late response is worth as much as a timely one; so only
-// their deadline counts.
+// neededByRunningWork reports whether a request is taken for a call that work which is already running depends on.
+// These calls have the highest priority; backend servers don't pipeline them.
+func (w *Waiter) neededByRunningWork() bool {
+	return w.Priority == 0 && !w.Pipelined
+}
+
+// latestEnd returns the latest completion time that justifies waiting. For a call that running work depends on, a late
+// response is worth as much as a timely one; so only its deadline counts.
 func (w *Waiter) latestEnd() spar.Millis {
-	if w.Priority == 0 || w.late {
+	if w.neededByRunningWork() || w.late {
 		return w.Deadline
 	}
 
--- a/gate/request.go
+++ b/gate/request.go
@@ -30,6 +30,8 @@
 	Deadline spar.Millis
 	// Objective is the time after which the response is of little use to the caller.
 	Objective spar.Millis
+	// Pipelined reports whether responses to later requests of the caller's connection wait for this one.
+	Pipelined bool
 	// InstanceID is the instance id of the backend server that must run the request; empty means any.
 	InstanceID string
 }
--- a/httpd/conn.go
+++ b/httpd/conn.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	spar "sardinespar.example/spar"
@@ -43,6 +44,9 @@
 	// resume ends a pause of the reader if the connection is not a socket.
 	resume chan struct{}
 
+	// pipelined is true once a request was read before an earlier one was answered.
+	pipelined atomic.Bool
+
 	mu sync.Mutex
 	// queue holds the requests in flight in the order of their arrival, and bytes is their size.
 	queue []*exchange
--- a/httpd/pipeline_test.go
+++ b/httpd/pipeline_test.go
@@ -189,6 +189,36 @@
 	qt.Check(t, httpd.Serialize(t.Context()), qt.IsNil)
 }
 
+// Guards against taking a client that awaits each response for one that pipelines, and the other way round.
+func TestPipelined(t *testing.T) {
+	pipelined := make(chan bool, 1)
+	release := make(chan struct{})
+	addr := start(t, settings, func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/slow" {
+			<-release
+		} else {
+			pipelined <- httpd.Pipelined(r.Context())
+		}
+	})
+
+	c := dial(t, addr)
+	for range 2 {
+		c.get("/awaited")
+		qt.Check(t, <-pipelined, qt.IsFalse)
+		c.answer("GET")
+	}
+
+	c.get("/slow", "/ahead")
+	qt.Check(t, <-pipelined, qt.IsTrue)
+	release <- struct{}{}
+
+	c.answer("GET")
+	c.answer("GET")
+	c.get("/later")
+	qt.Check(t, <-pipelined, qt.IsTrue)
+	qt.Check(t, httpd.Pipelined(t.Context()), qt.IsFalse)
+}
+
 // Guards against requests behind a closing response that still run or are answered.
 func TestClosingResponseCancelsRequestsBehind(t *testing.T) {
 	for _, abort := range []bool{false, true} {
--- a/httpd/queue.go
+++ b/httpd/queue.go
@@ -41,6 +41,7 @@
 	}
 
 	if ahead {
+		c.pipelined.Store(true)
 		c.server.deps.Tally.Count("spar_client_read_ahead_total")
 	}
 }
--- a/httpd/server.go
+++ b/httpd/server.go
@@ -313,6 +313,14 @@
 // exchangeKey is the key of the exchange in the context of its request.
 type exchangeKey struct{}
 
+// Pipelined reports whether the client of a request sends requests on its connection before earlier ones are answered.
+// Its responses then wait for those before them.
+func Pipelined(ctx context.Context) bool {
+	x, _ := ctx.Value(exchangeKey{}).(*exchange)
+
+	return x != nil && x.conn.pipelined.Load()
+}
+
 // errClosing is returned by Serialize if the connection closes before the request's turn.
 var errClosing = errors.New("connection closes before the request")
 
