Let a body be read by another goroutine than its handler's

A read that was under way when the handler returned could take bytes of a later request from a pooled buffer. Such a read now fails and the connection closes; TestBodyIsReadAfterHandler tests it. The fuzz test found that net/http closes after 'Connection: x close', which is now done here too. Its own faults are mended: connections shared addresses, and a busy machine missed requests. go test -race -count=3 ./httpd passes.

--- a/httpd/body.go
+++ b/httpd/body.go
@@ -6,7 +6,7 @@
 	"math"
 	"net/http"
 	"strconv"
-	"sync/atomic"
+	"sync"
 
 	spar "sardinespar.example/spar"
 )
@@ -38,9 +38,12 @@
 	room int64
 	// expect is true while the client waits for an interim response.
 	expect bool
-	// ended is true after the last byte, and failed after an error.
-	ended, failed bool
-	released      atomic.Bool
+	// ended is true after the last byte, failed after an error, and released once the connection's goroutine may read
+	// on.
+	ended, failed, released bool
+
+	// mu is locked during a read, and guards the fields above: a handler may return while its body is read elsewhere.
+	mu sync.Mutex
 }
 
 func newBody(x *exchange, parsed *http.Request, expect bool) *body {
@@ -53,10 +56,17 @@
 
 // Read reads the body. The client gets the interim response that it waits for, if any.
 func (b *body) Read(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	return b.readLocked(p)
+}
+
+func (b *body) readLocked(p []byte) (int, error) {
 	switch {
 	case b.ended:
 		return 0, io.EOF
-	case b.failed || b.released.Load():
+	case b.failed || b.released:
 		return 0, http.ErrBodyReadAfterClose
 	}
 
@@ -73,7 +83,7 @@
 	case errors.Is(err, io.EOF):
 		b.ended = true
 		b.x.req.Trailer = b.parsed.Trailer
-		b.done()
+		b.doneLocked()
 	case err != nil:
 		b.failed = true
 	}
@@ -132,13 +142,20 @@
 	c.setDeadline(until)
 }
 
-// Close lets the connection's goroutine read on. A body that was not read completely ends the connection.
+// Close does nothing: the rest of a body is discarded when the response begins, or ends the connection.
 func (b *body) Close() error {
 	return nil
 }
 
-// skip discards a short rest of the body. It reports whether the connection can carry another request.
+// skip discards a short rest of the body. It reports whether the connection can carry another request, which is not
+// the case while the body is read elsewhere.
 func (b *body) skip() bool {
+	if !b.mu.TryLock() {
+		return false
+	}
+
+	defer b.mu.Unlock()
+
 	switch {
 	case b.ended:
 		return true
@@ -146,14 +163,34 @@
 		return false
 	}
 
-	_, err := io.CopyN(io.Discard, b, maxDiscardedBytes+1)
+	_, err := io.CopyN(io.Discard, readerFunc(b.readLocked), maxDiscardedBytes+1)
 
 	return errors.Is(err, io.EOF)
 }
 
-// done lets the connection's goroutine read on.
+// readerFunc is a function that reads.
+type readerFunc func(p []byte) (int, error)
+
+// Read calls the function.
+func (f readerFunc) Read(p []byte) (int, error) {
+	return f(p)
+}
+
+// done lets the connection's goroutine read on after the handler has returned. It ends a read that is under way.
 func (b *body) done() {
-	if !b.released.Swap(true) {
+	if !b.mu.TryLock() {
+		b.x.conn.stopBody()
+		b.mu.Lock()
+	}
+
+	defer b.mu.Unlock()
+
+	b.doneLocked()
+}
+
+func (b *body) doneLocked() {
+	if !b.released {
+		b.released = true
 		b.x.conn.bodyDone <- struct{}{}
 	}
 }
--- a/httpd/conn.go
+++ b/httpd/conn.go
@@ -56,6 +56,8 @@
 	vec      [][]byte
 	// paused is true while the reader waits for requests to be answered, and kicked if it was woken.
 	paused, kicked bool
+	// bodyStopped is true while reads of the body must fail, since its handler has returned.
+	bodyStopped bool
 	// shut is true once the last response was sent, dead once the connection is closed, and ended once the reader
 	// has returned.
 	shut, dead, ended bool
@@ -176,11 +178,32 @@
 
 	if hasBody {
 		<-c.bodyDone
+		c.resumeBody()
 	}
 
 	return !last
 }
 
+// stopBody ends a read of a body.
+func (c *conn) stopBody() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	c.bodyStopped = true
+	_ = c.nc.SetReadDeadline(time.Unix(1, 0))
+}
+
+// resumeBody lets the connection be read again after stopBody.
+func (c *conn) resumeBody() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	if c.bodyStopped {
+		c.bodyStopped = false
+		c.deadline = 0
+	}
+}
+
 // parse reads the head that was checked.
 func (c *conn) parse(h *head) (*http.Request, error) {
 	r := c.src.reader
@@ -198,6 +221,7 @@
 	}
 
 	req.RemoteAddr = c.remote
+	req.Close = req.Close || asksToClose(req.Header)
 
 	return req, nil
 }
@@ -285,7 +309,7 @@
 
 // setDeadlineLocked sets the read deadline, unless the connection ends already or the deadline wakes the reader.
 func (c *conn) setDeadlineLocked(at spar.Millis) {
-	if c.shut || c.kicked || c.deadline == at {
+	if c.shut || c.kicked || c.bodyStopped || c.deadline == at {
 		return
 	}
 
--- a/httpd/framing_test.go
+++ b/httpd/framing_test.go
@@ -334,3 +334,35 @@
 	qt.Check(t, resp.Close, qt.IsTrue)
 	c.ended()
 }
+
+// Guards against a body that a handler leaves to another goroutine: a read after the handler's end must fail, and
+// must not take bytes of a later request or of another connection.
+func TestBodyIsReadAfterHandler(t *testing.T) {
+	result := make(chan error, 1)
+	addr := start(t, settings, func(w http.ResponseWriter, r *http.Request) {
+		reading := make(chan struct{})
+
+		go func() {
+			close(reading)
+
+			_, err := io.ReadAll(r.Body)
+			result <- err
+		}()
+
+		<-reading
+		time.Sleep(5 * time.Millisecond)
+
+		_, _ = io.WriteString(w, "x")
+	})
+
+	for range 5 {
+		c := dial(t, addr)
+		c.send("POST / HTTP/1.1\nHost: a\nContent-Length: 100\n\nabc")
+
+		resp, body := c.answer("POST")
+		qt.Check(t, body, qt.Equals, "x")
+		qt.Check(t, resp.Close, qt.IsTrue)
+		qt.Check(t, <-result, qt.IsNotNil)
+		c.ended()
+	}
+}
--- a/httpd/fuzz_test.go
+++ b/httpd/fuzz_test.go
@@ -1,11 +1,14 @@
 package httpd_test
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"reflect"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -48,19 +51,30 @@
 	_, _ = io.WriteString(w, "x")
 }
 
+// lastClient numbers the clients' addresses. Each connection has its own one, since a request may be recorded only
+// after its connection was closed, when another connection may have the same port.
+var lastClient atomic.Uint32
+
+// dialUnique connects from an address that no other connection has.
+func dialUnique(addr string) (net.Conn, error) {
+	n := lastClient.Add(1)
+	ip := net.IPv4(127, byte(1+n>>16%250), byte(n>>8), byte(n))
+
+	return (&net.Dialer{LocalAddr: &net.TCPAddr{IP: ip}}).Dial("tcp", addr)
+}
+
 // requests returns what a server's handler sees of the bytes of a connection.
-func (r *recorder) requests(t testing.TB, addr, input string) []seen {
+func (r *recorder) requests(t testing.TB, addr, input string, wait time.Duration) []seen {
 	t.Helper()
 
-	c, err := net.Dial("tcp", addr)
+	c, err := dialUnique(addr)
 	qt.Assert(t, err, qt.IsNil)
 
-	defer func() { _ = c.Close() }()
-
 	_, _ = io.WriteString(c, input)
 	// An incomplete request makes both servers wait.
-	_ = c.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
+	_ = c.SetReadDeadline(time.Now().Add(wait))
 	_, _ = io.Copy(io.Discard, c)
+	_ = c.Close()
 
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -72,13 +86,67 @@
 	return list
 }
 
-// toleratesEmptyLine reports whether request n is preceded by an empty line, which net/http accepts only after POST.
-func toleratesEmptyLine(input string, list []seen, n int) bool {
-	if n > 0 && list[n-1].Body != "" {
-		return strings.Contains(input, list[n-1].Body+"\r\n"+list[n].Method+" "+list[n].URI)
+// withoutEmptyLines returns the input without the one to four empty lines before a request, for each place where the
+// request may begin. They are accepted before any request, but by net/http only after POST.
+func withoutEmptyLines(input string, request seen) []string {
+	var variants []string
+
+	line := request.Method + " " + request.URI + " " + request.Proto
+
+	for i := range input {
+		if !strings.HasPrefix(input[i:], line) {
+			continue
+		}
+
+		before := input[:i]
+
+		for range 4 {
+			shorter, ok := strings.CutSuffix(before, "\r\n")
+			if !ok {
+				break
+			}
+
+			before = shorter
+			variants = append(variants, before+input[i:])
+		}
+	}
+
+	return variants
+}
+
+// pair is both servers.
+type pair struct {
+	t                  testing.TB
+	own, other         *recorder
+	ownAddr, otherAddr string
+}
+
+// difference describes a request that is accepted only here or has another meaning here; it is empty if there is none.
+func (p pair) difference(input string, wait time.Duration) string {
+	got := p.own.requests(p.t, p.ownAddr, input, wait)
+	want := p.other.requests(p.t, p.otherAddr, input, wait)
+
+	for i := range got {
+		for _, variant := range withoutEmptyLines(input, got[i]) {
+			if i < len(want) {
+				break
+			}
+
+			if list := p.other.requests(p.t, p.otherAddr, variant, wait); len(list) > i {
+				input, want = variant, list
+			}
+		}
+
+		if i >= len(want) {
+			return fmt.Sprintf("accepted only here: %+v", got[i])
+		}
+
+		if !reflect.DeepEqual(got[:i+1], want[:i+1]) {
+			return fmt.Sprintf("%+v here, %+v with net/http", got[:i+1], want[:i+1])
+		}
 	}
 
-	return strings.HasPrefix(input, "\r\n") || strings.Contains(input, "\r\n\r\n\r\n")
+	return ""
 }
 
 // FuzzAgainstNetHTTP guards against requests that this server accepts and net/http refuses, or that have another
@@ -89,6 +157,9 @@
 		"POST / HTTP/1.1\nHost: a\nContent-Length: 5\n\nhelloGET /2 HTTP/1.1\nHost: b\n\n",
 		"POST / HTTP/1.1\nHost: a\nTransfer-Encoding: chunked\n\n3;x=y\nabc\n0\nT: v\n\nGET / HTTP/1.1\nHost: b\n\n",
 		"PUT / HTTP/1.1\nHost: a\nContent-Length: 2\n\nab\nGET /2 HTTP/1.1\nHost: b\n\n",
+		"PUT / HTTP/1.1\nHost: a\nContent-Length: 2\n\nab\n\n\n\nGET /2 HTTP/1.1\nHost: b\n\n",
+		"PUT / HTTP/1.1\nHost: a\nTransfer-Encoding: chunked\n\n1\na\n0\n\n\n\nGET /2 HTTP/1.1\nHost: b\n\n",
+		"GET / HTTP/1.1\nHost: a\nConnection: x Close\n\n",
 		"GET / HTTP/1.0\n\n", "GET http://x/y HTTP/1.1\nHost: a\n\n", "OPTIONS * HTTP/1.1\nHost: a\n\n",
 		"CONNECT a:1 HTTP/1.1\nHost: a:1\n\n", "GET / HTTP/1.1\nHost: a\n folded\n\n",
 		"GET / HTTP/1.1\nHost: a\nContent-Length: 1\nContent-Length: 1\n\nx",
@@ -123,16 +194,11 @@
 	f.Fuzz(func(t *testing.T, input string) {
 		// The last request lets both servers close the connection.
 		input += "GET /end HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
-		got := own.requests(t, addr, input)
-		want := other.requests(t, ln.Addr().String(), input)
-
-		for i := range got {
-			if i >= len(want) && toleratesEmptyLine(input, got, i) {
-				return
-			}
+		p := pair{t: t, own: own, other: other, ownAddr: addr, otherAddr: ln.Addr().String()}
 
-			qt.Assert(t, i < len(want), qt.IsTrue, qt.Commentf("accepted only here: %+v in %q", got[i], input))
-			qt.Assert(t, got[i], qt.DeepEquals, want[i], qt.Commentf("%q", input))
+		// A busy machine may need longer for a complete request than an incomplete one is awaited.
+		if p.difference(input, 50*time.Millisecond) != "" {
+			qt.Assert(t, p.difference(input, 5*time.Second), qt.Equals, "", qt.Commentf("%q", input))
 		}
 	})
 }
--- a/httpd/response.go
+++ b/httpd/response.go
@@ -63,7 +63,7 @@
 		r.closes = true
 	}
 
-	if r.x.req.Close || !r.x.http11() || hasToken(r.header["Connection"], "close") {
+	if r.x.req.Close || !r.x.http11() || asksToClose(r.header) {
 		r.closes = true
 	}
 
@@ -440,11 +440,12 @@
 	r.out, r.unframed = nil, nil
 }
 
-// hasToken reports whether a list of header values has a token.
-func hasToken(values []string, token string) bool {
-	for _, v := range values {
-		for part := range strings.SplitSeq(v, ",") {
-			if strings.EqualFold(strings.Trim(part, " \t"), token) {
+// asksToClose reports whether a value of the header Connection has the word close. Like net/http it accepts spaces
+// between words.
+func asksToClose(h http.Header) bool {
+	for _, v := range h["Connection"] {
+		for _, word := range strings.FieldsFunc(v, func(c rune) bool { return c == ',' || c == ' ' || c == '\t' }) {
+			if strings.EqualFold(word, "close") {
 				return true
 			}
 		}
