Bound the memory and connections of clients

Bodies were read with io.ReadAll without any common bound, and any number of connections was accepted. Package budget counts what is held for clients: bodies are counted before they are read, by their length, or as they grow, and are allocated once if the length is known. A body without room is refused as not run with 503 and Retry-After. The inbound listener's bodies count in the same budget. If the machine's memory is known, the budget is two fifths of it and the runtime's soft limit four fifths.

--- a/cmd/spard/relay.go
+++ b/cmd/spard/relay.go
@@ -41,6 +41,10 @@
 
 	debug.SetGCPercent(cfg.GCPercent)
 
+	if limit := cfg.RuntimeLimit(); limit > 0 {
+		debug.SetMemoryLimit(limit)
+	}
+
 	clock := spar.BootClock()
 	logWriter := tally.NewAsyncWriter(os.Stdout)
 	flushed := make(chan struct{})
--- a/config/relay.go
+++ b/config/relay.go
@@ -50,6 +50,17 @@
 	// ShutdownGrace is the time after SIGTERM in which requests in flight may complete.
 	ShutdownGrace spar.Millis
 
+	// MachineBytes is the memory of the machine, and Descriptors the number of descriptors that the process may open; 0
+	// if they are not known.
+	MachineBytes int64
+	Descriptors  int
+	// MemoryBytes bounds the memory that clients hold, or is 0. ClientShare is the part of it that one client address
+	// may hold. MemoryBudget returns the bound in force.
+	MemoryBytes int64
+	ClientShare float64
+	// MaxConnections is the number of client connections. ConnectionLimit returns the bound in force.
+	MaxConnections int
+
 	// LinkMbps is the bandwidth of the VM's network link in megabits per second, or 0 for no limit.
 	LinkMbps float64
 
@@ -64,9 +75,43 @@
 	GrantsByCall      = "call"
 )
 
+const (
+	// budgetShare is the part of the machine's memory that clients may hold. The rest is for the backend server's
+	// responses, the collector's surplus over the live heap, stacks and the program itself.
+	budgetShare = 0.4
+	// runtimeShare is the part of the machine's memory above which the runtime collects garbage without pause.
+	runtimeShare = 0.8
+	// connectionShare is the part of the descriptors that client connections may use. The rest is for connections to
+	// and from nodes, the backend server and the store.
+	connectionShare = 0.75
+)
+
+// MemoryBudget returns the number of bytes that clients may hold; 0 for no bound.
+func (s RelaySettings) MemoryBudget() int64 {
+	if s.MemoryBytes > 0 {
+		return s.MemoryBytes
+	}
+
+	return int64(float64(s.MachineBytes) * budgetShare)
+}
+
+// RuntimeLimit returns the soft memory limit of the Go runtime in bytes; 0 for none.
+func (s RelaySettings) RuntimeLimit() int64 {
+	return int64(float64(s.MachineBytes) * runtimeShare)
+}
+
+// ConnectionLimit returns the number of client connections that may be open.
+func (s RelaySettings) ConnectionLimit() int {
+	if s.Descriptors == 0 {
+		return s.MaxConnections
+	}
+
+	return min(s.MaxConnections, max(1, int(float64(s.Descriptors)*connectionShare)))
+}
+
 // RelayKeys returns all settings of a relay in the order of the reference.
 func RelayKeys() []Key[RelaySettings] {
-	return slices.Concat(relayNodeKeys(), relayRequestKeys(), relayLogKeys())
+	return slices.Concat(relayNodeKeys(), relayRequestKeys(), relayMemoryKeys(), relayLogKeys())
 }
 
 func relayNodeKeys() []Key[RelaySettings] {
@@ -127,6 +172,24 @@
 	}
 }
 
+func relayMemoryKeys() []Key[RelaySettings] {
+	return []Key[RelaySettings]{
+		integer("memory", "machine_mib", 0, 0, 1<<20, "MiB of memory of the machine; 0 if it is not known",
+			func(s *RelaySettings, n int) { s.MachineBytes = int64(n) << 20 }),
+		integer("memory", "descriptors", 0, 0, 1<<30,
+			"descriptors that the process may open, of which client connections use at most three quarters; "+
+				"0 if it is not known",
+			func(s *RelaySettings, n int) { s.Descriptors = n }),
+		integer("memory", "total_mib", 0, 0, 1<<20,
+			"MiB that clients may hold; 0 for two fifths of the machine's memory, or no bound if that is not known",
+			func(s *RelaySettings, n int) { s.MemoryBytes = int64(n) << 20 }),
+		integer("memory", "client_percent", 50, 1, 100, "percentage of it that one client address may hold",
+			func(s *RelaySettings, n int) { s.ClientShare = float64(n) / 100 }),
+		integer("memory", "connections", 3000, 1, 1_000_000, "client connections that may be open; further ones are closed",
+			func(s *RelaySettings, n int) { s.MaxConnections = n }),
+	}
+}
+
 func relayLogKeys() []Key[RelaySettings] {
 	return []Key[RelaySettings]{
 		number("link", "mbps", 0, 0, 1_000_000,
--- a/conns/caller.go
+++ b/conns/caller.go
@@ -14,6 +14,13 @@
 	return context.WithValue(ctx, connKey{}, c)
 }
 
+// Conn returns the connection that WithConn added to ctx, or nil.
+func Conn(ctx context.Context) net.Conn {
+	c, _ := ctx.Value(connKey{}).(net.Conn)
+
+	return c
+}
+
 // CallerClosed reports whether the caller has closed the connection that WithConn added to ctx. An http.Server
 // detects this only after the handler has started, which is too late for a request that waited unread.
 func CallerClosed(ctx context.Context) bool {
--- /dev/null
+++ b/entry/body.go
@@ -0,0 +1,68 @@
+package entry
+
+import (
+	"errors"
+	"io"
+	"net/http"
+
+	"sardinespar.example/spar/budget"
+)
+
+// firstPieceBytes is the first piece of memory for a body whose length is not known.
+const firstPieceBytes = 16 << 10
+
+var (
+	errBodyTooLong = errors.New("body is too long")
+	errNoMemory    = errors.New("no memory for the body")
+)
+
+// readBody reads a request's body of at most limit bytes into memory that it takes from an account. A body whose length
+// is known is allocated once, and is refused before any of it is read.
+func readBody(r *http.Request, limit int64, account *budget.Account) ([]byte, error) {
+	switch n := r.ContentLength; {
+	case n > limit:
+		return nil, errBodyTooLong
+	case n < 0:
+		return readPieces(r.Body, limit, account)
+	case !account.Take(n):
+		return nil, errNoMemory
+	default:
+		body := make([]byte, n)
+		_, err := io.ReadFull(r.Body, body)
+
+		return body, err
+	}
+}
+
+// readPieces reads a body whose length is not known. The memory doubles whenever it is full; while it is copied, both
+// the old and the new memory are taken from the account.
+func readPieces(r io.Reader, limit int64, account *budget.Account) ([]byte, error) {
+	var body []byte
+
+	for {
+		if len(body) == cap(body) {
+			// One more byte than the limit shows that a body is too long.
+			size := min(limit+1, max(firstPieceBytes, 2*int64(cap(body))))
+			if !account.Take(size) {
+				return nil, errNoMemory
+			}
+
+			larger := make([]byte, len(body), size)
+			copy(larger, body)
+			account.Release(int64(cap(body)))
+			body = larger
+		}
+
+		n, err := r.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+
+		switch {
+		case int64(len(body)) > limit:
+			return nil, errBodyTooLong
+		case errors.Is(err, io.EOF):
+			return body, nil
+		case err != nil:
+			return nil, err
+		}
+	}
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -13,6 +13,7 @@
 	"github.com/charmbracelet/log"
 
 	spar "sardinespar.example/spar"
+	"sardinespar.example/spar/budget"
 	"sardinespar.example/spar/conns"
 	"sardinespar.example/spar/gate"
 	"sardinespar.example/spar/keymap"
@@ -34,6 +35,8 @@
 	Names   spar.HeaderNames
 	// MaxBodyBytes is the maximum size of a request's body.
 	MaxBodyBytes int64
+	// MaxBufferedBytes is the size up to which a response is held in memory completely.
+	MaxBufferedBytes int64
 	// MaxRulesAge is how long rules are used after a peer has announced newer ones.
 	MaxRulesAge spar.Millis
 }
@@ -60,6 +63,8 @@
 	// Quarantined reports whether a request must not run now because it crashes backend servers, and the time
 	// until it may.
 	Quarantined func(req gate.Request) (spar.Millis, bool)
+	// Memory bounds the memory that requests hold.
+	Memory *budget.Budget
 }
 
 // Entry serves the requests of callers on this VM.
@@ -120,12 +125,17 @@
 		return
 	}
 
-	if bad := e.readBody(r, &req, set); bad != nil {
-		e.reject(w, r, *bad)
+	account := e.deps.Memory.Open(r.RemoteAddr)
+	defer account.Close()
+
+	if bad := e.readBody(r, &req, set, account); bad != nil {
+		e.rejectBody(w, r, *bad)
 
 		return
 	}
 
+	defer budget.Running(r.Context())()
+
 	e.retries.Earn(req.Service)
 
 	ctx, cancel := context.WithTimeout(r.Context(), (req.Deadline - arrived).Duration())
@@ -137,6 +147,8 @@
 	e.record(req, result, rule, set.Version, took)
 
 	if result.Outcome == spar.OutcomeCompleted {
+		// The response is in memory already, so that it is sent even if there is no room.
+		_ = account.Take(min(max(0, result.Length), e.cfg.MaxBufferedBytes))
 		e.deliver(w, result)
 
 		return
@@ -210,7 +222,9 @@
 }
 
 // readBody reads the complete body of a request, so that the request can be sent again.
-func (e *Entry) readBody(r *http.Request, req *gate.Request, set *rules.Set) *rejection {
+func (e *Entry) readBody(
+	r *http.Request, req *gate.Request, set *rules.Set, account *budget.Account,
+) *rejection {
 	if r.ContentLength == 0 {
 		return nil
 	}
@@ -220,15 +234,17 @@
 		limit = min(limit, n)
 	}
 
-	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	body, err := readBody(r, limit, account)
 
 	switch {
+	case errors.Is(err, errNoMemory):
+		return &rejection{http.StatusServiceUnavailable, string(spar.ReasonMemory)}
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return &rejection{http.StatusRequestTimeout, "body not received in time"}
+	case errors.Is(err, errBodyTooLong):
+		return &rejection{http.StatusRequestEntityTooLarge, "body is longer than " + strconv.FormatInt(limit, 10) + " bytes"}
 	case err != nil:
 		return &rejection{http.StatusBadRequest, "body can't be read"}
-	case int64(len(body)) > limit:
-		return &rejection{http.StatusRequestEntityTooLarge, "body is longer than " + strconv.FormatInt(limit, 10) + " bytes"}
 	}
 
 	req.Body = body
--- a/entry/inbound.go
+++ b/entry/inbound.go
@@ -10,6 +10,7 @@
 	"github.com/charmbracelet/log"
 
 	spar "sardinespar.example/spar"
+	"sardinespar.example/spar/budget"
 	"sardinespar.example/spar/gate"
 	"sardinespar.example/spar/pace"
 	"sardinespar.example/spar/rules"
@@ -25,20 +26,29 @@
 	clock        spar.Clock
 	log          *log.Logger
 	maxBodyBytes int64
+	memory       *budget.Budget
 	buffers      *copyBufferPool
 }
 
-// NewInbound returns a handler that passes requests to a gate and paces responses over the VM's link.
-func NewInbound(g *gate.Gate, link *pace.Link, clock spar.Clock, l *log.Logger, maxBodyBytes int64) *Inbound {
-	return &Inbound{gate: g, link: link, clock: clock, log: l, maxBodyBytes: maxBodyBytes, buffers: newCopyBufferPool()}
+// NewInbound returns a handler that passes requests to a gate and paces responses over the VM's link. It takes the
+// memory of bodies from a budget.
+func NewInbound(
+	g *gate.Gate, link *pace.Link, clock spar.Clock, l *log.Logger, maxBodyBytes int64, memory *budget.Budget,
+) *Inbound {
+	return &Inbound{
+		gate: g, link: link, clock: clock, log: l, maxBodyBytes: maxBodyBytes, memory: memory,
+		buffers: newCopyBufferPool(),
+	}
 }
 
 // ServeHTTP runs a request and sends its result back.
 func (i *Inbound) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(io.LimitReader(r.Body, i.maxBodyBytes+1))
-	if err != nil || int64(len(body)) > i.maxBodyBytes {
-		i.log.Warn("cannot read request from node", "bytes", len(body), "cause", err)
-		i.write(w, r.Header.Get(hopID), gate.Refused(spar.ReasonBadRequest, 0))
+	account := i.memory.Open(r.RemoteAddr)
+	defer account.Close()
+
+	body, err := readBody(r, i.maxBodyBytes, account)
+	if err != nil {
+		i.rejectBody(w, r, err)
 
 		return
 	}
@@ -54,6 +64,19 @@
 	i.write(w, req.ID, i.serve(r.Context(), req))
 }
 
+// rejectBody responds to a request whose body was not read to its end.
+func (i *Inbound) rejectBody(w http.ResponseWriter, r *http.Request, err error) {
+	i.log.Warn("cannot read request from node", "bytes", r.ContentLength, "cause", err)
+	w.Header().Set("Connection", "close")
+
+	result := gate.Refused(spar.ReasonBadRequest, 0)
+	if errors.Is(err, errNoMemory) {
+		result = gate.Refused(spar.ReasonMemory, memoryRetryAfter())
+	}
+
+	i.write(w, r.Header.Get(hopID), result)
+}
+
 // serve runs a request. A download is refused if the link could not send its response by the request's objective.
 func (i *Inbound) serve(ctx context.Context, req gate.Request) gate.Result {
 	if req.Kind != rules.Download {
--- a/entry/reply.go
+++ b/entry/reply.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 
@@ -52,6 +53,35 @@
 	e.writeText(w, bad.status, bad.cause)
 }
 
+// rejectBody responds to a request whose body was not read to its end. The rest of the body is not read, so that the
+// connection can't carry another request.
+func (e *Entry) rejectBody(w http.ResponseWriter, r *http.Request, bad rejection) {
+	w.Header().Set("Connection", "close")
+
+	if bad.status != http.StatusServiceUnavailable {
+		e.reject(w, r, bad)
+
+		return
+	}
+
+	e.deps.Tally.Count("spar_entry_" + bad.cause + "_total")
+
+	if dropped, ok := e.failedLog.Allow(); ok {
+		e.deps.Log.Warn("request refused: memory is short", "id", r.Header.Get(e.cfg.Names.RequestID),
+			"bytes", r.ContentLength, "held_bytes", e.deps.Memory.Held(), "left_out", dropped)
+	}
+
+	e.refuse(w, gate.Refused(spar.ReasonMemory, memoryRetryAfter()))
+}
+
+// memoryRetryAfter spreads the retries of clients for whose requests there was no memory over the time in which
+// stalled connections are closed.
+func memoryRetryAfter() spar.Millis {
+	const minDelay, jitter = 200, 800
+
+	return minDelay + spar.Millis(rand.IntN(jitter))
+}
+
 // refuseStaleRules refuses a request that may be subject to newer rules, which this node has not yet received.
 func (e *Entry) refuseStaleRules(w http.ResponseWriter, r *http.Request, set *rules.Set, lag spar.Millis) {
 	e.deps.Tally.Count("spar_entry_" + string(spar.ReasonOldRules) + "_total")
--- a/outcome.go
+++ b/outcome.go
@@ -56,6 +56,8 @@
 	ReasonSuspected    Reason = "suspected"
 	ReasonMethod       Reason = "method"
 	ReasonNotKept      Reason = "not_kept"
+	// ReasonMemory means that there was no memory for the request.
+	ReasonMemory Reason = "memory"
 	// ReasonCrashed means that the backend server crashed while it ran the call. An idempotent call may have
 	// one further attempt.
 	ReasonCrashed Reason = "crashed"
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -15,6 +15,7 @@
 	"github.com/charmbracelet/log"
 
 	spar "sardinespar.example/spar"
+	"sardinespar.example/spar/budget"
 	"sardinespar.example/spar/config"
 	"sardinespar.example/spar/conns"
 	"sardinespar.example/spar/entry"
@@ -38,6 +39,9 @@
 	// idleTimeout is how long an idle connection from a caller or a node is kept.
 	idleTimeout    spar.Millis = 60_000
 	maxHeaderBytes             = 32 << 10
+	// stallTime is how long a client's connection must have made no progress before it may be closed for lack of
+	// memory or connections.
+	stallTime spar.Millis = 1000
 )
 
 // Adapter translates to the formats and protocols of the deployment's platform.
@@ -101,6 +105,7 @@
 	maps     *owner.Maps
 	entry    *entry.Entry
 	inbound  *entry.Inbound
+	memory   *budget.Budget
 	mux      *peers.Mux
 	traffic  *peers.Traffic
 
@@ -128,8 +133,11 @@
 func New(cfg config.RelaySettings, deps Deps) *Relay {
 	r := &Relay{
 		cfg: cfg, deps: deps, maps: owner.NewMaps(), mux: peers.NewMux(), traffic: &peers.Traffic{},
-		started: deps.UnixMillis(),
+		started: deps.UnixMillis(), memory: budget.New(cfg.MemoryBudget(), cfg.ClientShare),
 	}
+	deps.Tally.Gauge("spar_memory_held_bytes", r.memory.Held)
+	deps.Tally.Gauge("spar_memory_refused_total", r.memory.Refused)
+
 	r.operator = newOperator(deps, r.membership)
 	r.fleet = r.newFleet()
 
@@ -163,14 +171,15 @@
 	})
 	r.entry = entry.New(entry.Settings{
 		Node: cfg.Node, Zone: cfg.Zone, Service: cfg.Service, Names: names, MaxBodyBytes: int64(cfg.MaxBodyBytes),
-		MaxRulesAge: cfg.MaxRulesAge,
+		MaxBufferedBytes: int64(cfg.MaxBufferedBytes),
+		MaxRulesAge:      cfg.MaxRulesAge,
 	}, entry.Deps{
 		Clock: deps.Clock, Rules: r.operator.Rules, Mesh: r.mesh, Maps: r.maps, Gate: r.gate, Pool: pool,
 		Log: deps.Log, Tally: deps.Tally,
 		ZoneWithdrawn: r.operator.ZoneWithdrawn, Closing: r.leaving.Load, Closed: r.closed.Load, RulesLag: r.rulesLag,
-		Quarantined: r.crashes.Quarantined,
+		Quarantined: r.crashes.Quarantined, Memory: r.memory,
 	})
-	r.inbound = entry.NewInbound(r.gate, deps.Link, deps.Clock, deps.Log, int64(cfg.MaxBodyBytes))
+	r.inbound = entry.NewInbound(r.gate, deps.Link, deps.Clock, deps.Log, int64(cfg.MaxBodyBytes), r.memory)
 	r.mesh.Register(r.mux)
 	r.owner.Register(r.mux)
 	r.registerOperator()
@@ -219,10 +228,13 @@
 	defer wg.Wait()
 	defer cancel()
 
+	clients := r.clientListener(ln.Outbound)
+
 	for _, run := range []func(context.Context){
 		r.mesh.Run, r.owner.Run,
 		r.operator.feed.Run, r.fleet.Run,
 		func(ctx context.Context) { r.servePeers(ctx, ln.Peer) },
+		clients.Run,
 	} {
 		wg.Go(func() { run(work) })
 	}
@@ -233,7 +245,7 @@
 	}
 	failed := make(chan error, len(servers))
 
-	for i, l := range []net.Listener{ln.Outbound, ln.Inbound, ln.Ready, ln.Control} {
+	for i, l := range []net.Listener{clients, ln.Inbound, ln.Ready, ln.Control} {
 		wg.Go(func() { failed <- servers[i].Serve(l) })
 	}
 
@@ -258,6 +270,13 @@
 	return nil
 }
 
+// clientListener returns ln with a bound on its connections.
+func (r *Relay) clientListener(ln net.Listener) *budget.Listener {
+	return budget.NewListener(ln, budget.Settings{
+		Connections: r.cfg.ConnectionLimit(), StallTime: stallTime,
+	}, budget.Deps{Clock: r.deps.Clock, Budget: r.memory, Log: r.deps.Log, Tally: r.deps.Tally})
+}
+
 // servePeers serves control messages until ctx ends.
 func (r *Relay) servePeers(ctx context.Context, ln net.Listener) {
 	if err := peers.NewServer(r.mux, r.traffic).Serve(ctx, r.deps.Link.Listener(ln)); err != nil {
--- a/tally/tally.go
+++ b/tally/tally.go
@@ -44,6 +44,13 @@
 	}
 }
 
+// Gauge serves the current value of f under a name.
+func (t *Tally) Gauge(name string, f func() int64) {
+	if t != nil {
+		t.counters.Set(name, expvar.Func(func() any { return f() }))
+	}
+}
+
 // Observe adds a latency to a histogram.
 func (t *Tally) Observe(name string, d spar.Millis) {
 	if t == nil {
