Connect the server of pipelined requests to the memory budget

The outbound listener's connections and heads now count in the budget, so that heads without end and heads of many lines are bounded. httpd opens an account by address and port, so that the budget knows the connection, and leaves bodies to the handler, which alone knows how much of a body is held at once; they would count twice otherwise. The inbound listener counts heads too. Clients that keep sending a request slowly made progress all the time and were never closed; if no stalled connection is left, those without a complete request for 5 s are closed as well.

--- a/budget/listener.go
+++ b/budget/listener.go
@@ -26,6 +26,9 @@
 	// StallTime is how long a connection must have made no progress before it may be closed for lack of memory or
 	// connections.
 	StallTime spar.Millis
+	// SlowTime is how long a connection may make progress without a complete request before it may be closed too, if no
+	// stalled one is left.
+	SlowTime spar.Millis
 }
 
 // Deps are the dependencies of a Listener.
@@ -122,7 +125,11 @@
 	client     *client
 	// running is the number of requests that wait for this process and not for the client.
 	running atomic.Int32
-	closed  atomic.Bool
+	// requests counts the requests that were complete.
+	requests atomic.Int64
+	closed   atomic.Bool
+	// slow belongs to the goroutine of Run.
+	slow progress
 	// held is what the connection's accounts hold, and evicted is true once it was closed for lack of memory. Both are
 	// guarded by the budget's mu.
 	held    int64
@@ -157,44 +164,92 @@
 	}
 
 	c.running.Add(1)
+	c.requests.Add(1)
 
 	return func() { c.running.Add(-1) }
 }
 
-// stalled reports whether the connection has waited for its client for a time.
-func (c *Conn) stalled(after spar.Millis) bool {
+// state is what a connection waits for.
+type state int
+
+const (
+	// stateBusy means that the connection waits for this process, or that its client has just read or sent bytes.
+	stateBusy state = iota
+	// stateReceiving means the same, but no complete request is there.
+	stateReceiving
+	// stateStalled means that the client has not read or sent bytes for StallTime.
+	stateStalled
+)
+
+// state asks the kernel when the client last made progress, so that reads and writes need not record it.
+func (c *Conn) state() state {
+	running := c.running.Load() > 0
+	result := stateBusy
+
 	raw, err := c.SyscallConn()
 	if err != nil {
-		return false
+		return result
 	}
 
-	stalled := false
-	running := c.running.Load() > 0
-	err = raw.Control(func(fd uintptr) { stalled = stalledSocket(int(fd), running, after) })
+	err = raw.Control(func(fd uintptr) { result = socketState(int(fd), running, c.listener.cfg.StallTime) })
+	if err != nil {
+		return stateBusy
+	}
 
-	return err == nil && stalled
+	return result
 }
 
-// stalledSocket asks the kernel when the client last made progress, so that reads and writes need not record it.
-// While a request runs, only a response that the client does not read counts.
-func stalledSocket(fd int, running bool, after spar.Millis) bool {
+// socketState returns the state of a connection. While a request runs, only a response that the client does not read
+// is a stall.
+func socketState(fd int, running bool, stallTime spar.Millis) state {
 	info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
 	if err != nil {
-		return false
+		return stateBusy
 	}
 
-	if spar.Millis(info.Last_data_sent) < after {
-		return false
-	}
+	quiet := spar.Millis(info.Last_data_sent) >= stallTime
 
 	if running {
-		return info.Notsent_bytes > 0
+		if quiet && info.Notsent_bytes > 0 {
+			return stateStalled
+		}
+
+		return stateBusy
 	}
 
 	// Bytes that have arrived and are not read yet wait for this process.
-	unread, err := unix.IoctlGetInt(fd, unix.SIOCINQ)
+	if unread, err := unix.IoctlGetInt(fd, unix.SIOCINQ); err != nil || unread > 0 {
+		return stateBusy
+	}
+
+	if quiet && spar.Millis(info.Last_data_recv) >= stallTime {
+		return stateStalled
+	}
+
+	return stateReceiving
+}
+
+// progress is since when a connection has been found without a complete request, and the number of its requests then.
+type progress struct {
+	since    spar.Millis
+	requests int64
+	found    bool
+}
+
+// isSlow reports whether the connection has been receiving for SlowTime without completing a request.
+func (c *Conn) isSlow(s state, now spar.Millis) bool {
+	requests := c.requests.Load()
+
+	switch {
+	case s != stateReceiving:
+		c.slow = progress{}
+	case !c.slow.found || c.slow.requests != requests:
+		c.slow = progress{since: now, requests: requests, found: true}
+	default:
+		return now-c.slow.since >= c.listener.cfg.SlowTime
+	}
 
-	return err == nil && unread == 0 && spar.Millis(info.Last_data_recv) >= after
+	return false
 }
 
 // Run closes stalled connections when memory or connections are short, until ctx ends.
@@ -208,7 +263,7 @@
 
 		if n, freed := l.relieve(); n > 0 {
 			l.deps.Tally.Count("spar_memory_relieved_total")
-			l.deps.Log.Warn("closed stalled connections: memory or connections are short", "connections", n,
+			l.deps.Log.Warn("closed stalled or slow connections: memory or connections are short", "connections", n,
 				"freed_bytes", freed, "held_bytes", l.deps.Budget.Held(), "open", l.open.Load())
 		}
 
@@ -243,25 +298,50 @@
 	return s.connections > 0 || c.held > 0 && (s.memory > 0 || s.clients[c.conn.name] > 0)
 }
 
-// relieve closes stalled connections until neither memory nor connections are short, or none is left. It returns
-// their number and the bytes that they held.
+// subtract records the end of a connection.
+func (s *shortage) subtract(c candidate) {
+	s.memory -= c.held
+	s.connections--
+	s.clients[c.conn.name] -= c.held
+}
+
+// relieve closes stalled connections, and then slow ones, until neither memory nor connections are short, or none is
+// left. It returns their number and the bytes that they held.
 func (l *Listener) relieve() (n int, freed int64) {
 	short, candidates := l.survey()
+	now := l.deps.Clock.Now()
 
-	for _, c := range candidates {
-		if !short.includes(c) || !c.conn.stalled(l.cfg.StallTime) {
-			continue
+	var slow []candidate
+
+	closeIf := func(c candidate) {
+		if !short.includes(c) {
+			return
 		}
 
 		l.evict(c.conn)
-
-		short.memory -= c.held
-		short.connections--
-		short.clients[c.conn.name] -= c.held
+		short.subtract(c)
 		n++
 		freed += c.held
 	}
 
+	for _, c := range candidates {
+		if !short.includes(c) {
+			continue
+		}
+
+		s := c.conn.state()
+
+		if c.conn.isSlow(s, now) {
+			slow = append(slow, c)
+		} else if s == stateStalled {
+			closeIf(c)
+		}
+	}
+
+	for _, c := range slow {
+		closeIf(c)
+	}
+
 	return n, freed
 }
 
--- a/budget/listener_test.go
+++ b/budget/listener_test.go
@@ -40,7 +40,9 @@
 	qt.Assert(t, err, qt.IsNil)
 
 	d := &door{C: qt.New(t), budget: b, accepted: make(chan net.Conn, 100)}
-	d.listener = budget.NewListener(ln, budget.Settings{Connections: connections, StallTime: stallTime}, budget.Deps{
+	d.listener = budget.NewListener(ln, budget.Settings{
+		Connections: connections, StallTime: stallTime, SlowTime: 20 * stallTime,
+	}, budget.Deps{
 		Clock: spar.RuntimeClock(), Budget: b, Log: log.New(io.Discard),
 	})
 
@@ -236,6 +238,31 @@
 	}
 }
 
+// Guards against clients that send their requests so slowly that they hold connections and memory without end. Another
+// client, which holds less, stays connected.
+func TestSlowConnectionIsClosed(t *testing.T) {
+	d := open(t, budget.New(100, 1), 100, short)
+	slow, server := d.hold("127.0.0.2", 60)
+	other, _ := d.hold("127.0.0.3", 20)
+
+	go func() { _, _ = io.Copy(io.Discard, server) }()
+
+	for end := time.Now().Add(soon); ; time.Sleep(short.Duration() / 5) {
+		if _, err := io.WriteString(slow, "x"); err != nil {
+			break
+		}
+
+		if time.Now().After(end) {
+			t.Fatal("connection is still open")
+		}
+
+		_, _ = io.WriteString(other, "x")
+		d.budget.Open("127.0.0.4").Take(25)
+	}
+
+	d.Check(isClosed(other, quiet), qt.IsFalse)
+}
+
 // Guards against a client that does not read its response, which is held in memory meanwhile.
 func TestUnreadResponseIsStalled(t *testing.T) {
 	d := open(t, budget.New(100, 1), 100, short)
--- a/entry/body.go
+++ b/entry/body.go
@@ -11,6 +11,27 @@
 // firstPieceBytes is the first piece of memory for a body whose length is not known.
 const firstPieceBytes = 16 << 10
 
+const (
+	// lineBytes is the memory of a line of a parsed header and of its copy for the next hop, in addition to its text,
+	// which both share. docs/design/memory.md has the measurement.
+	lineBytes = 300
+	// requestBytes is the memory of a request without its header lines and its body.
+	requestBytes = 6 << 10
+)
+
+// headBytes returns the memory that a request holds without its body.
+func headBytes(h http.Header) int64 {
+	n := int64(requestBytes)
+
+	for name, values := range h {
+		for _, v := range values {
+			n += lineBytes + int64(len(name)+len(v))
+		}
+	}
+
+	return n
+}
+
 var (
 	errBodyTooLong = errors.New("body is too long")
 	errNoMemory    = errors.New("no memory for the body")
--- a/entry/inbound.go
+++ b/entry/inbound.go
@@ -46,7 +46,7 @@
 	account := i.memory.Open(r.RemoteAddr)
 	defer account.Close()
 
-	body, err := readBody(r, i.maxBodyBytes, account)
+	body, err := i.readRequest(r, account)
 	if err != nil {
 		i.rejectBody(w, r, err)
 
@@ -64,6 +64,15 @@
 	i.write(w, req.ID, i.serve(r.Context(), req))
 }
 
+// readRequest reads the body of a request whose head fits into memory.
+func (i *Inbound) readRequest(r *http.Request, account *budget.Account) ([]byte, error) {
+	if !account.Take(headBytes(r.Header)) {
+		return nil, errNoMemory
+	}
+
+	return readBody(r, i.maxBodyBytes, account)
+}
+
 // rejectBody responds to a request whose body was not read to its end.
 func (i *Inbound) rejectBody(w http.ResponseWriter, r *http.Request, err error) {
 	i.log.Warn("cannot read request from node", "bytes", r.ContentLength, "cause", err)
--- a/httpd/body.go
+++ b/httpd/body.go
@@ -13,15 +13,10 @@
 const (
 	// slowBodyGrace is the time after which a body must have arrived at the minimum rate.
 	slowBodyGrace spar.Millis = 10_000
-	// bodyStepBytes is the size of the pieces in which the memory of a body of unknown length is reserved.
-	bodyStepBytes = 16 << 10
 
 	continueResponse = "HTTP/1.1 100 Continue\r\n\r\n"
 )
 
-// ErrMemory is returned by a read of a request's body if there is no memory for the rest of the body.
-var ErrMemory = errors.New("no memory for the body")
-
 // body is the body of a request. Its connection has no other request in flight.
 type body struct {
 	x *exchange
@@ -32,8 +27,6 @@
 	// start is the time of the first read.
 	start spar.Millis
 	read  int64
-	// room is the number of bytes that may be read before more memory is reserved for a body of unknown length.
-	room int64
 	// expect is true while the client waits for an interim response.
 	expect bool
 	// ended is true after the last byte, and failed after an error.
@@ -78,7 +71,7 @@
 	return n, err
 }
 
-// prepare does what precedes a read: the interim response, the deadline and the memory.
+// prepare does what precedes a read: the interim response and the deadline.
 func (b *body) prepare() error {
 	c := b.x.conn
 	now := c.server.deps.Clock.Now()
@@ -95,15 +88,6 @@
 		}
 	}
 
-	if b.length < 0 && b.read >= b.room {
-		if !c.account.Take(bodyStepBytes) {
-			return ErrMemory
-		}
-
-		b.room += bodyStepBytes
-		b.x.held += bodyStepBytes
-	}
-
 	b.limitTime(now)
 
 	return nil
--- a/httpd/conn.go
+++ b/httpd/conn.go
@@ -138,7 +138,8 @@
 		return false
 	}
 
-	held := headCost(&h) + min(h.length, c.server.cfg.MaxBodyBytes)
+	// The handler counts the body, since only it knows how much of it is held at once.
+	held := headCost(&h)
 	if !c.account.Take(held) {
 		c.refuse(refusedMemory)
 
--- a/httpd/server.go
+++ b/httpd/server.go
@@ -50,7 +50,7 @@
 
 // Budget bounds the memory of all connections.
 type Budget interface {
-	// Open returns the account of a new connection of a client, which is identified by its IP address.
+	// Open returns the account of a new connection of a client, which is identified by its IP address and port.
 	Open(client string) Account
 }
 
@@ -203,12 +203,7 @@
 	var account Account = unbounded{}
 
 	if s.deps.Budget != nil {
-		client, _, err := net.SplitHostPort(nc.RemoteAddr().String())
-		if err != nil {
-			client = nc.RemoteAddr().String()
-		}
-
-		account = s.deps.Budget.Open(client)
+		account = s.deps.Budget.Open(nc.RemoteAddr().String())
 	}
 
 	if !account.Take(connBytes) {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -43,6 +43,9 @@
 	// stallTime is how long a client's connection must have made no progress before it may be closed for lack of
 	// memory or connections.
 	stallTime spar.Millis = 1000
+	// slowTime is how long a client may take to send a request if memory or connections are short and no stalled
+	// connection is left to close. Clients give up unread requests after a second, and large bodies take longer.
+	slowTime spar.Millis = 5000
 )
 
 // Adapter translates to the formats and protocols of the deployment's platform.
@@ -274,7 +277,7 @@
 // clientListener returns ln with a bound on its connections.
 func (r *Relay) clientListener(ln net.Listener) *budget.Listener {
 	return budget.NewListener(ln, budget.Settings{
-		Connections: r.cfg.ConnectionLimit(), StallTime: stallTime,
+		Connections: r.cfg.ConnectionLimit(), StallTime: stallTime, SlowTime: slowTime,
 	}, budget.Deps{Clock: r.deps.Clock, Budget: r.memory, Log: r.deps.Log, Tally: r.deps.Tally})
 }
 
@@ -297,7 +300,17 @@
 		PipelineDepth: r.cfg.PipelineDepth, PipelineBytes: r.cfg.PipelineBytes,
 		HeadBytes: r.cfg.MaxHeadBytes, HeadLines: r.cfg.MaxHeadLines, HeadTimeout: r.cfg.HeadTimeout,
 		IdleTimeout: idleTimeout, BodyRate: r.cfg.MinBodyRate, MaxBodyBytes: int64(r.cfg.MaxBodyBytes),
-	}, httpd.Deps{Clock: r.deps.Clock, Handler: h, Log: r.deps.Log, Tally: r.deps.Tally})
+	}, httpd.Deps{
+		Clock: r.deps.Clock, Handler: h, Log: r.deps.Log, Tally: r.deps.Tally, Budget: accounts{r.memory},
+	})
+}
+
+// accounts adapts a budget to the interface of httpd.
+type accounts struct{ budget *budget.Budget }
+
+// Open returns the account of a connection.
+func (a accounts) Open(client string) httpd.Account {
+	return a.budget.Open(client)
 }
 
 // server returns an HTTP server with the node's limits.
