--- a/budget/budget.go
+++ b/budget/budget.go
@@ -14,7 +14,7 @@
 // highWater is the share of a bound above which new connections are refused, and stalled ones are closed.
 const highWater = 0.875
 
-// Budget is the memory that all clients together may hold.
+// Budget is the memory that all clients together may hold. A nil Budget has no bound and counts nothing.
 type Budget struct {
 	// total is the bound on all clients and share that on each; 0 means no bound.
 	total, share int64
@@ -52,6 +52,10 @@
 // Open returns an account of a client, which is an IP address with or without a port. With the port, what the account
 // holds also counts as held by the client's connection.
 func (b *Budget) Open(addr string) *Account {
+	if b == nil {
+		return nil
+	}
+
 	b.mu.Lock()
 	defer b.mu.Unlock()
 
@@ -158,7 +162,7 @@
 	}
 }
 
-// Account is what one connection or request holds. Its methods may be called concurrently.
+// Account is what one connection or request holds. Its methods may be called concurrently. A nil Account has no bound.
 type Account struct {
 	budget *Budget
 	name   string
@@ -172,6 +176,10 @@
 
 // Take reserves n bytes and reports whether there is room for them.
 func (a *Account) Take(n int64) bool {
+	if a == nil {
+		return true
+	}
+
 	b := a.budget
 
 	b.mu.Lock()
@@ -192,6 +200,10 @@
 
 // Release returns n bytes that Take reserved.
 func (a *Account) Release(n int64) {
+	if a == nil {
+		return
+	}
+
 	a.budget.mu.Lock()
 	defer a.budget.mu.Unlock()
 
@@ -202,6 +214,10 @@
 
 // Close returns all bytes. Afterwards Take reserves nothing.
 func (a *Account) Close() {
+	if a == nil {
+		return
+	}
+
 	a.budget.mu.Lock()
 	defer a.budget.mu.Unlock()
 
--- a/entry/body.go
+++ b/entry/body.go
@@ -37,16 +37,14 @@
 	errNoMemory    = errors.New("no memory for the body")
 )
 
-// readBody reads a request's body of at most limit bytes into memory that it takes from an account. A body whose length
-// is known is allocated once, and is refused before any of it is read.
+// readBody reads a request's body of at most limit bytes, which is allocated once if its length is known. Its bytes are
+// counted already; account counts what else is allocated.
 func readBody(r *http.Request, limit int64, account *budget.Account) ([]byte, error) {
 	switch n := r.ContentLength; {
 	case n > limit:
 		return nil, errBodyTooLong
 	case n < 0:
 		return readPieces(r.Body, limit, account)
-	case !account.Take(n):
-		return nil, errNoMemory
 	default:
 		body := make([]byte, n)
 		_, err := io.ReadFull(r.Body, body)
@@ -55,10 +53,14 @@
 	}
 }
 
-// readPieces reads a body whose length is not known. The memory doubles whenever it is full; while it is copied, both
-// the old and the new memory are taken from the account.
+// readPieces reads a body whose length is not known. The memory doubles whenever it is full; while it is copied, there
+// is both the old and the new memory.
 func readPieces(r io.Reader, limit int64, account *budget.Account) ([]byte, error) {
-	var body []byte
+	var (
+		body []byte
+		// unread is the part of the memory that no byte had been read into when it was allocated.
+		unread int64
+	)
 
 	for {
 		if len(body) == cap(body) {
@@ -70,7 +72,9 @@
 
 			larger := make([]byte, len(body), size)
 			copy(larger, body)
-			account.Release(int64(cap(body)))
+			// The bytes in the new memory are counted already, and what was taken for the old memory is free.
+			account.Release(int64(len(body)) + unread)
+			unread = size - int64(len(body))
 			body = larger
 		}
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -130,7 +130,7 @@
 	defer account.Close()
 
 	if bad := e.readBody(r, &req, set, account); bad != nil {
-		e.rejectBody(w, r, *bad)
+		e.reject(w, r, *bad)
 
 		return
 	}
@@ -246,7 +246,7 @@
 	return h.Sum64()
 }
 
-// readBody reads the complete body of a request, so that the request can be sent again.
+// readBody reads the complete body of a request, so that the request can be sent again. The server has counted its bytes.
 func (e *Entry) readBody(
 	r *http.Request, req *gate.Request, set *rules.Set, account *budget.Account,
 ) *rejection {
@@ -262,8 +262,8 @@
 	body, err := readBody(r, limit, account)
 
 	switch {
-	case errors.Is(err, errNoMemory):
-		return &rejection{http.StatusServiceUnavailable, string(spar.ReasonMemory)}
+	case errors.Is(err, httpd.ErrMemory) || errors.Is(err, errNoMemory):
+		return &rejection{http.StatusServiceUnavailable, "no memory for the body"}
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return &rejection{http.StatusRequestTimeout, "body not received in time"}
 	case errors.Is(err, errBodyTooLong):
--- a/entry/inbound.go
+++ b/entry/inbound.go
@@ -64,9 +64,15 @@
 	i.write(w, req.ID, i.serve(r.Context(), req))
 }
 
-// readRequest reads the body of a request whose head fits into memory.
+// readRequest reads the body of a request, for which there must be memory together with its head. Nodes always send the
+// length of a body; the longest is assumed for one without.
 func (i *Inbound) readRequest(r *http.Request, account *budget.Account) ([]byte, error) {
-	if !account.Take(headBytes(r.Header)) {
+	length := r.ContentLength
+	if length < 0 {
+		length = i.maxBodyBytes
+	}
+
+	if !account.Take(headBytes(r.Header) + min(length, i.maxBodyBytes)) {
 		return nil, errNoMemory
 	}
 
@@ -80,7 +86,7 @@
 
 	result := gate.Refused(spar.ReasonBadRequest, 0)
 	if errors.Is(err, errNoMemory) {
-		result = gate.Refused(spar.ReasonMemory, memoryRetryAfter())
+		result = gate.Refused(spar.ReasonMemory, memoryRetryAfter)
 	}
 
 	i.write(w, r.Header.Get(hopID), result)
--- a/entry/reply.go
+++ b/entry/reply.go
@@ -2,7 +2,6 @@
 
 import (
 	"io"
-	"math/rand/v2"
 	"net/http"
 	"strconv"
 
@@ -14,6 +13,8 @@
 const (
 	// staleRulesRetryAfter is the retry delay of a request that is refused because the rules are stale.
 	staleRulesRetryAfter spar.Millis = 300
+	// memoryRetryAfter is the retry delay of a request for whose body there is no memory.
+	memoryRetryAfter spar.Millis = 300
 	// maxRetryAfter is the longest retry delay that is sent to a refused caller.
 	maxRetryAfter spar.Millis = 1000
 )
@@ -42,6 +43,12 @@
 func (e *Entry) reject(w http.ResponseWriter, r *http.Request, bad rejection) {
 	e.deps.Tally.Count("spar_entry_rejected_total")
 
+	if bad.status == http.StatusServiceUnavailable {
+		setRetryAfter(w, memoryRetryAfter)
+		// The rest of the body is not read.
+		w.Header().Set("Connection", "close")
+	}
+
 	if _, ok := e.failedLog.Allow(); !ok {
 		e.writeText(w, bad.status, bad.cause)
 
@@ -53,35 +60,6 @@
 	e.writeText(w, bad.status, bad.cause)
 }
 
-// rejectBody responds to a request whose body was not read to its end. The rest of the body is not read, so that the
-// connection can't carry another request.
-func (e *Entry) rejectBody(w http.ResponseWriter, r *http.Request, bad rejection) {
-	w.Header().Set("Connection", "close")
-
-	if bad.status != http.StatusServiceUnavailable {
-		e.reject(w, r, bad)
-
-		return
-	}
-
-	e.deps.Tally.Count("spar_entry_" + bad.cause + "_total")
-
-	if dropped, ok := e.failedLog.Allow(); ok {
-		e.deps.Log.Warn("request refused: memory is short", "id", r.Header.Get(e.cfg.Names.RequestID),
-			"bytes", r.ContentLength, "held_bytes", e.deps.Memory.Held(), "left_out", dropped)
-	}
-
-	e.refuse(w, gate.Refused(spar.ReasonMemory, memoryRetryAfter()))
-}
-
-// memoryRetryAfter spreads the retries of clients for whose requests there was no memory over the time in which
-// stalled connections are closed.
-func memoryRetryAfter() spar.Millis {
-	const minDelay, jitter = 200, 800
-
-	return minDelay + spar.Millis(rand.IntN(jitter))
-}
-
 // refuseStaleRules refuses a request that may be subject to newer rules, which this node has not yet received.
 func (e *Entry) refuseStaleRules(w http.ResponseWriter, r *http.Request, set *rules.Set, lag spar.Millis) {
 	e.deps.Tally.Count("spar_entry_" + string(spar.ReasonOldRules) + "_total")
@@ -109,7 +87,7 @@
 			after = min(maxRetryAfter, after)
 		}
 
-		w.Header().Set("Retry-After", strconv.FormatFloat(float64(after)/1000, 'f', 3, 64))
+		setRetryAfter(w, after)
 	case result.Reason == spar.ReasonDeadline:
 		status = http.StatusGatewayTimeout
 	}
@@ -117,6 +95,10 @@
 	e.writeText(w, status, string(result.Reason))
 }
 
+func setRetryAfter(w http.ResponseWriter, after spar.Millis) {
+	w.Header().Set("Retry-After", strconv.FormatFloat(float64(after)/1000, 'f', 3, 64))
+}
+
 // writeText writes a response that consists of a status and a line of text.
 func (e *Entry) writeText(w http.ResponseWriter, status int, text string) {
 	if e.deps.Closing() {
--- a/httpd/body.go
+++ b/httpd/body.go
@@ -13,20 +13,28 @@
 const (
 	// slowBodyGrace is the time after which a body must have arrived at the minimum rate.
 	slowBodyGrace spar.Millis = 10_000
+	// bodyStepBytes is the size of the pieces in which the memory of a body of unknown length is reserved.
+	bodyStepBytes = 16 << 10
 
 	continueResponse = "HTTP/1.1 100 Continue\r\n\r\n"
 )
 
+// ErrMemory is returned by a read of a request's body if there is no memory for the rest of the body.
+var ErrMemory = errors.New("no memory for the body")
+
 // body is the body of a request. Its connection has no other request in flight.
 type body struct {
 	x *exchange
-	// src is the body as net/http reads it.
-	src io.ReadCloser
+	// parsed is the request as net/http read it, which gets the trailer, and src its body.
+	parsed *http.Request
+	src    io.ReadCloser
 	// length is the length of the body; negative if it is not known.
 	length int64
 	// start is the time of the first read.
 	start spar.Millis
 	read  int64
+	// room is the number of bytes that may be read before more memory is reserved for a body of unknown length.
+	room int64
 	// expect is true while the client waits for an interim response.
 	expect bool
 	// ended is true after the last byte, and failed after an error.
@@ -34,12 +42,12 @@
 	released      atomic.Bool
 }
 
-func newBody(x *exchange, expect bool) *body {
+func newBody(x *exchange, parsed *http.Request, expect bool) *body {
 	if x.conn.bodyDone == nil {
 		x.conn.bodyDone = make(chan struct{}, 1)
 	}
 
-	return &body{x: x, src: x.req.Body, length: x.req.ContentLength, expect: expect}
+	return &body{x: x, parsed: parsed, src: parsed.Body, length: parsed.ContentLength, expect: expect}
 }
 
 // Read reads the body. The client gets the interim response that it waits for, if any.
@@ -63,6 +71,7 @@
 	switch {
 	case errors.Is(err, io.EOF):
 		b.ended = true
+		b.x.req.Trailer = b.parsed.Trailer
 		b.done()
 	case err != nil:
 		b.failed = true
@@ -71,7 +80,7 @@
 	return n, err
 }
 
-// prepare does what precedes a read: the interim response and the deadline.
+// prepare does what precedes a read: the interim response, the deadline and the memory.
 func (b *body) prepare() error {
 	c := b.x.conn
 	now := c.server.deps.Clock.Now()
@@ -88,6 +97,15 @@
 		}
 	}
 
+	if b.length < 0 && b.read >= b.room {
+		if !c.account.Take(bodyStepBytes) {
+			return ErrMemory
+		}
+
+		b.room += bodyStepBytes
+		b.x.held += bodyStepBytes
+	}
+
 	b.limitTime(now)
 
 	return nil
--- a/httpd/conn.go
+++ b/httpd/conn.go
@@ -138,8 +138,7 @@
 		return false
 	}
 
-	// The handler counts the body, since only it knows how much of it is held at once.
-	held := headCost(&h)
+	held := headCost(&h) + min(h.length, c.server.cfg.MaxBodyBytes)
 	if !c.account.Take(held) {
 		c.refuse(refusedMemory)
 
@@ -158,7 +157,7 @@
 	x.size, x.held, x.alone = size, held, h.alone()
 
 	if h.hasBody() {
-		x.body = newBody(x, h.expect)
+		x.body = newBody(x, req, h.expect)
 		x.req.Body = x.body
 	}
 
@@ -411,18 +410,24 @@
 	c.awaitClose()
 }
 
-// awaitClose waits until the connection is closed, without reading from it.
+// awaitClose waits until the connection is closed, or lingerTime has passed after the last response, without reading
+// from it.
 func (c *conn) awaitClose() {
-	for c.busy() && !c.gone() {
-		if c.src.raw == nil {
+	for !c.gone() {
+		busy := c.busy()
+
+		switch {
+		case busy && c.src.raw == nil:
 			<-c.ctx.Done()
 
+			return
+		case busy:
+			c.setIdleDeadline()
+		case c.src.raw == nil:
 			return
 		}
 
-		c.setIdleDeadline()
-
-		if c.src.watch() {
+		if c.src.watch() || !busy {
 			return
 		}
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -308,7 +308,12 @@
 // accounts adapts a budget to the interface of httpd.
 type accounts struct{ budget *budget.Budget }
 
-// Open returns the account of a connection.
+// OpenConn returns the account of a connection, which the budget knows by its address.
+func (a accounts) OpenConn(nc net.Conn) httpd.Account {
+	return a.budget.Open(nc.RemoteAddr().String())
+}
+
+// Open returns an account of a client.
 func (a accounts) Open(client string) httpd.Account {
 	return a.budget.Open(client)
 }
