Treat a response with an invalid status as no response

Failing backend servers have sent status 000. net/http accepts any three digits, so that a status below 100 was skipped as an interim response, and whatever followed on the connection was taken for the response; a status above 599 was passed on. Both are errors now: the connection is closed and the outcome is unknown.

Shown: on the code before, go test -run Status ./conns failed for 000 (with and without a reason phrase), 099 and +20, each of which accepted the second response with 200, and for 600 and 999, which were passed on. 101, letters, two or four digits, a negative or missing status, 1xx as the final response, and valid statuses without a reason phrase passed before and still do.

--- a/conns/pool.go
+++ b/conns/pool.go
@@ -208,7 +208,11 @@
 	return match == MatchOwn || match == MatchUnmarked && first
 }
 
-// readResponse reads the next final response and skips interim ones.
+// maxStatus is the highest valid status.
+const maxStatus = 599
+
+// readResponse reads the next final response and skips interim ones. A response with an invalid status, of which failing
+// servers send some, is an error: it says nothing about the request, and where it ends is not certain.
 func readResponse(c *conn, method string) (*http.Response, error) {
 	c.limiter.limit(maxHeaderBytes)
 	defer c.limiter.unlimit()
@@ -219,12 +223,13 @@
 			return nil, fmt.Errorf("read answer: %w", err)
 		}
 
-		if resp.StatusCode >= http.StatusOK {
-			return resp, nil
-		}
-
-		if resp.StatusCode == http.StatusSwitchingProtocols {
+		switch {
+		case resp.StatusCode < http.StatusContinue || resp.StatusCode > maxStatus:
+			return nil, fmt.Errorf("invalid status %q", resp.Status)
+		case resp.StatusCode == http.StatusSwitchingProtocols:
 			return nil, errors.New("answer switches protocols")
+		case resp.StatusCode >= http.StatusOK:
+			return resp, nil
 		}
 	}
 }
