--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 # The tests that stand in KNOWN-RED.txt run apart and don't decide.
 KNOWN_RED := $(shell .ci/known_red pattern)
 
-.PHONY: known-red build test lint fmt tools demo measure clean
+.PHONY: known-red build test floods lint fmt tools demo measure clean
 
 build:
 	@mkdir -p bin
@@ -17,7 +17,14 @@
 test:
 	@.ci/known_red check
 	@for m in $(MODULES); do \
-		(cd $$m && go test -race -timeout 8m $(if $(KNOWN_RED),-skip '$(KNOWN_RED)') ./...) || exit 1; done
+		(cd $$m && packages=$$(go list ./...) && go test -race -timeout 8m $(if $(KNOWN_RED),-skip '$(KNOWN_RED)') \
+			$$(echo "$$packages" | grep -v '/platform/floods$$')) || exit 1; done
+	@$(MAKE) --no-print-directory floods
+
+# These tests load the machine with processes, memory and connections, so that no other test may run beside them. Their
+# programs are built without -race, which multiplies the memory that they hold.
+floods:
+	@go test -p 1 -timeout 8m ./platform/floods
 
 known-red:
 	@.ci/known_red run
--- a/conns/pool.go
+++ b/conns/pool.go
@@ -211,8 +211,8 @@
 // maxStatus is the highest valid status.
 const maxStatus = 599
 
-// readResponse reads the next final response and skips interim ones. A response with an invalid status, of which failing
-// servers send some, is an error: it says nothing about the request, and where it ends is not certain.
+// readResponse reads the next final response and skips interim ones. A response with an invalid status, which failing
+// servers send, is an error: it says nothing about the request, and where it ends is not certain.
 func readResponse(c *conn, method string) (*http.Response, error) {
 	c.limiter.limit(maxHeaderBytes)
 	defer c.limiter.unlimit()
--- a/conns/status_test.go
+++ b/conns/status_test.go
@@ -50,8 +50,8 @@
 	}
 }
 
-// Guards against an invalid status that is passed on to a client, or that is taken for an interim response, so that what
-// follows on the connection is taken for the response. Such a response counts as none: the request may have run.
+// Guards against an invalid status that is passed on to a client, or that is taken for an interim response, so that
+// what follows on the connection is taken for the response. Such a response counts as none: the request may have run.
 func TestInvalidStatusIsNoResponse(t *testing.T) {
 	for name, line := range map[string]string{
 		"zero":              "HTTP/1.1 000 ",
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -152,8 +152,7 @@
 	e.record(req, result, rule, set.Version, took)
 
 	if result.Outcome == spar.OutcomeCompleted {
-		// The response is in memory already, so that it is sent even if there is no room.
-		_ = account.Take(min(max(0, result.Length), e.cfg.MaxBufferedBytes))
+		e.countResponse(account, result)
 		e.deliver(w, result)
 
 		return
@@ -162,6 +161,14 @@
 	e.refuse(w, result)
 }
 
+// countResponse counts the part of a response that the gate of this node holds in memory. It is sent even if there is no
+// room, which lets stalled connections be closed.
+func (e *Entry) countResponse(account *budget.Account, r gate.Result) {
+	if r.Node == e.cfg.Node {
+		_ = account.Take(min(max(0, r.Length), e.cfg.MaxBufferedBytes))
+	}
+}
+
 // serialize lets a request that must not run twice wait until all earlier requests of its connection have been
 // answered: if one of these responses closes the connection, the client sends the request again. If the request's
 // time ends first, it returns false with the result.
@@ -246,7 +253,8 @@
 	return h.Sum64()
 }
 
-// readBody reads the complete body of a request, so that the request can be sent again. The server has counted its bytes.
+// readBody reads the complete body of a request, so that the request can be sent again. The server has counted its
+// bytes.
 func (e *Entry) readBody(
 	r *http.Request, req *gate.Request, set *rules.Set, account *budget.Account,
 ) *rejection {
