--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -90,3 +90,19 @@
 	wg.Wait()
 	qt.Check(t, b.Held(), qt.Equals, int64(0))
 }
+
+// BenchmarkRequest measures what a request costs in the budget beside other requests.
+func BenchmarkRequest(b *testing.B) {
+	m := budget.New(1<<30, 0.5)
+	for i := range 3000 {
+		m.Open("10.0." + strconv.Itoa(i/250) + "." + strconv.Itoa(i%250)).Take(8 << 10)
+	}
+
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			a := m.Open("10.0.0.1:8080")
+			a.Take(1000)
+			a.Close()
+		}
+	})
+}
--- a/budget/listener.go
+++ b/budget/listener.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"math"
 	"net"
 	"slices"
 	"sync/atomic"
@@ -21,7 +22,7 @@
 
 // Settings are the limits of a Listener.
 type Settings struct {
-	// Connections is the number of connections that may be open; further ones are closed at once.
+	// Connections is the number of connections that may be open; further ones are closed at once. 0 means no bound.
 	Connections int
 	// StallTime is how long a connection must have made no progress before it may be closed for lack of memory or
 	// connections.
@@ -51,6 +52,10 @@
 
 // NewListener returns a Listener that accepts the connections of ln.
 func NewListener(ln net.Listener, cfg Settings, deps Deps) *Listener {
+	if cfg.Connections == 0 {
+		cfg.Connections = math.MaxInt32
+	}
+
 	return &Listener{Listener: ln, cfg: cfg, deps: deps}
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -261,7 +261,7 @@
 	}
 
 	r.deps.Log.Info("started", "node", r.cfg.Node, "service", r.cfg.Service, "zone", r.cfg.Zone,
-		"incarnation", r.deps.Incarnation)
+		"incarnation", r.deps.Incarnation, "budget_bytes", r.cfg.MemoryBudget(), "connections", r.cfg.ConnectionLimit())
 
 	select {
 	case err := <-failed:
