--- a/entry/inbound.go
+++ b/entry/inbound.go
@@ -14,6 +14,7 @@
 	"sardinespar.example/spar/gate"
 	"sardinespar.example/spar/pace"
 	"sardinespar.example/spar/rules"
+	"sardinespar.example/spar/tally"
 )
 
 // responseHeadBytes is the usual size in bytes of the header of a response between nodes.
@@ -28,6 +29,8 @@
 	maxBodyBytes int64
 	memory       *budget.Budget
 	buffers      *copyBufferPool
+	// failedLog limits the log lines of requests that can't be read.
+	failedLog *tally.Limiter
 }
 
 // NewInbound returns a handler that passes requests to a gate and paces responses over the VM's link. It takes the
@@ -37,7 +40,7 @@
 ) *Inbound {
 	return &Inbound{
 		gate: g, link: link, clock: clock, log: l, maxBodyBytes: maxBodyBytes, memory: memory,
-		buffers: newCopyBufferPool(),
+		buffers: newCopyBufferPool(), failedLog: tally.NewLimiter(clock, maxFailedLines),
 	}
 }
 
@@ -81,7 +84,10 @@
 
 // rejectBody responds to a request whose body was not read to its end.
 func (i *Inbound) rejectBody(w http.ResponseWriter, r *http.Request, err error) {
-	i.log.Warn("cannot read request from node", "bytes", r.ContentLength, "cause", err)
+	if dropped, ok := i.failedLog.Allow(); ok {
+		i.log.Warn("cannot read request from node", "bytes", r.ContentLength, "cause", err, "left_out", dropped)
+	}
+
 	w.Header().Set("Connection", "close")
 
 	result := gate.Refused(spar.ReasonBadRequest, 0)
@@ -163,7 +169,7 @@
 
 	h[hopID] = []string{id}
 	h[spar.HeaderOutcome] = []string{string(r.Outcome)}
-	h[spar.HeaderLoad] = []string{encodeLoad(i.gate.Load())}
+	setLoad(h, i.gate.Load())
 
 	if r.Outcome == spar.OutcomeCompleted {
 		i.buffers.copyResponse(w, r)
--- a/spread/spread_test.go
+++ b/spread/spread_test.go
@@ -82,6 +82,7 @@
 	slowdown float64
 	at       spar.Millis
 	sent     int
+	inFlight int
 	usual    spar.Millis
 }
 
@@ -190,6 +191,7 @@
 		node := r.rnd.IntN(len(r.views))
 		i := r.choose(node)
 		r.views[node][i].sent++
+		r.views[node][i].inFlight++
 		r.trackers[node].Begin(fmt.Sprint(i))
 		r.add(networkTime, eventStart, job{node: node, server: i, began: r.now})
 		r.add(spar.Millis(r.rnd.ExpFloat64()/r.rate), eventArrival, job{})
@@ -240,6 +242,7 @@
 	s.running--
 	s.mean += 0.05 * (float64(r.now-j.ran) - s.mean)
 	r.startWaiting(j.server)
+	r.views[j.node][j.server].inFlight--
 	r.learn(j.node, j.server)
 	r.trackers[j.node].End(fmt.Sprint(j.server), false)
 
@@ -256,7 +259,7 @@
 
 func (r *replay) learn(node, i int) {
 	last := r.views[node][i]
-	v := view{load: r.report(i), at: r.now, slowdown: 1}
+	v := view{load: r.report(i), at: r.now, slowdown: 1, inFlight: last.inFlight}
 	v.usual = spread.UsualTime(last.usual, v.load.MeanServiceTime, r.now-last.at)
 	if r.servers[i].slowed {
 		v.slowdown = noiseFactor
@@ -287,7 +290,7 @@
 	for i, v := range r.views[node] {
 		servers[i] = spread.Server{
 			Slots: v.load.Slots, Load: v.load.Running + v.load.Waiting, ServiceTime: v.usual,
-			Slowdown: v.slowdown, Age: r.now - v.at, Sent: v.sent, Near: true,
+			Slowdown: v.slowdown, Age: r.now - v.at, Sent: v.sent, InFlight: v.inFlight, Near: true,
 		}
 	}
 
@@ -380,3 +383,57 @@
 	cold, idle, busy := servers[2].Sent, servers[1].Sent, servers[0].Sent
 	qt.Check(t, idle > cold && idle > busy && cold > 0 && busy > 0, qt.IsTrue, qt.Commentf("%v", servers))
 }
+
+// choices returns how often each server is chosen for 10 000 requests.
+func choices(servers ...spread.Server) []int {
+	const requests = 10_000
+
+	rnd := rand.New(rand.NewPCG(7, 8))
+	counts := make([]int, len(servers))
+
+	for range requests {
+		counts[spread.Choose(servers, rnd.Float64)]++
+	}
+
+	return counts
+}
+
+// Guards against a cold server that gets most requests since it is idle: with one other server both are always
+// compared, and a zone that has no other server would send it all requests.
+func TestColdServerGetsFewRequests(t *testing.T) {
+	warm := spread.Server{Slots: slots, Load: 3, ServiceTime: work, Near: true}
+	cold := spread.Server{Slots: slots, ServiceTime: work, Near: true, Cold: true}
+	far := spread.Server{Slots: slots, Load: 3, ServiceTime: work, Penalty: 4}
+
+	n := choices(warm, cold)
+	qt.Check(t, n[1] > 0 && n[1] < n[0]*2/3, qt.IsTrue, qt.Commentf("%v", n))
+
+	n = choices(cold, far, far, far, far)
+	qt.Check(t, n[0] > 0 && n[0] < n[1]*2/3, qt.IsTrue, qt.Commentf("%v", n))
+}
+
+// Guards against a server that fails all requests, is idle therefore, and keeps all requests of its zone.
+func TestFailingServerDoesNotKeepItsZone(t *testing.T) {
+	failing := spread.Server{Slots: slots, ServiceTime: work, Near: true, FailureRate: 1, Penalty: 1500}
+	far := spread.Server{Slots: slots, Load: 3, ServiceTime: work, Penalty: 4}
+
+	n := choices(failing, far, far, far, far)
+	qt.Check(t, n[0] < n[1]/3, qt.IsTrue, qt.Commentf("%v", n))
+}
+
+// Guards against servers that get nearly all requests, since nothing or something impossible is known of them.
+func TestUnusualReportsDontAttractRequests(t *testing.T) {
+	usual := spread.Server{Slots: slots, Load: 3, ServiceTime: work, Near: true}
+
+	for name, s := range map[string]spread.Server{
+		"unknown":           {Near: true},
+		"slowdown 1 %":      {Slots: slots, Load: 3, ServiceTime: work, Near: true, Slowdown: 0.01},
+		"report from later": {Slots: slots, Load: 3, ServiceTime: work, Near: true, Age: -1e9},
+	} {
+		n := choices(s, usual, usual, usual, usual)
+		qt.Check(t, n[0] > 0 && n[0] < 6000, qt.IsTrue, qt.Commentf("%s: %v", name, n))
+	}
+
+	n := choices(spread.Server{}, spread.Server{})
+	qt.Check(t, n[0] > 4000 && n[1] > 4000, qt.IsTrue, qt.Commentf("%v", n))
+}
