--- a/entry/entry.go
+++ b/entry/entry.go
@@ -13,6 +13,7 @@
 	"github.com/charmbracelet/log"
 
 	spar "sardinespar.example/spar"
+	"sardinespar.example/spar/budget"
 	"sardinespar.example/spar/conns"
 	"sardinespar.example/spar/gate"
 	"sardinespar.example/spar/httpd"
@@ -35,6 +36,8 @@
 	Names   spar.HeaderNames
 	// MaxBodyBytes is the maximum size of a request's body.
 	MaxBodyBytes int64
+	// MaxBufferedBytes is the size up to which a response is held in memory completely.
+	MaxBufferedBytes int64
 	// MaxRulesAge is how long rules are used after a peer has announced newer ones.
 	MaxRulesAge spar.Millis
 	// SpreadByReports chooses among backend servers without keys by package spread, and otherwise by the lowest cost of
@@ -64,6 +67,8 @@
 	// Quarantined reports whether a request must not run now because it crashes backend servers, and the time
 	// until it may.
 	Quarantined func(req gate.Request) (spar.Millis, bool)
+	// Memory bounds the memory that requests hold.
+	Memory *budget.Budget
 }
 
 // Entry serves the requests of callers on this VM.
@@ -124,12 +129,17 @@
 		return
 	}
 
-	if bad := e.readBody(r, &req, set); bad != nil {
+	account := e.deps.Memory.Open(r.RemoteAddr)
+	defer account.Close()
+
+	if bad := e.readBody(r, &req, set, account); bad != nil {
 		e.reject(w, r, *bad)
 
 		return
 	}
 
+	defer budget.Running(r.Context())()
+
 	e.retries.Earn(req.Service)
 
 	ctx, cancel := context.WithTimeout(r.Context(), (req.Deadline - arrived).Duration())
@@ -145,6 +155,7 @@
 	e.record(req, result, rule, set.Version, took)
 
 	if result.Outcome == spar.OutcomeCompleted {
+		e.countResponse(account, result)
 		e.deliver(w, result)
 
 		return
@@ -153,6 +164,14 @@
 	e.refuse(w, result)
 }
 
+// countResponse counts the part of a response that the gate of this node holds in memory. The response is sent even if
+// there is no room; the attempt makes stalled connections be closed.
+func (e *Entry) countResponse(account *budget.Account, r gate.Result) {
+	if r.Node == e.cfg.Node {
+		_ = account.Take(min(max(0, r.Length), e.cfg.MaxBufferedBytes))
+	}
+}
+
 // serialize lets a request that must not run twice wait until all earlier requests of its connection have been
 // answered: if one of these responses closes the connection, the client sends the request again. If the request's
 // time ends first, it returns false with the result.
@@ -244,8 +263,11 @@
 	return h.Sum64()
 }
 
-// readBody reads the complete body of a request, so that the request can be sent again.
-func (e *Entry) readBody(r *http.Request, req *gate.Request, set *rules.Set) *rejection {
+// readBody reads the complete body of a request, so that the request can be sent again. The server has counted its
+// bytes.
+func (e *Entry) readBody(
+	r *http.Request, req *gate.Request, set *rules.Set, account *budget.Account,
+) *rejection {
 	if r.ContentLength == 0 {
 		return nil
 	}
@@ -255,17 +277,17 @@
 		limit = min(limit, n)
 	}
 
-	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	body, err := readBody(r, limit, account)
 
 	switch {
-	case errors.Is(err, httpd.ErrMemory):
+	case errors.Is(err, httpd.ErrMemory) || errors.Is(err, errNoMemory):
 		return &rejection{http.StatusServiceUnavailable, "no memory for the body"}
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return &rejection{http.StatusRequestTimeout, "body not received in time"}
+	case errors.Is(err, errBodyTooLong):
+		return &rejection{http.StatusRequestEntityTooLarge, "body is longer than " + strconv.FormatInt(limit, 10) + " bytes"}
 	case err != nil:
 		return &rejection{http.StatusBadRequest, "body can't be read"}
-	case int64(len(body)) > limit:
-		return &rejection{http.StatusRequestEntityTooLarge, "body is longer than " + strconv.FormatInt(limit, 10) + " bytes"}
 	}
 
 	req.Body = body
--- a/entry/inbound.go
+++ b/entry/inbound.go
@@ -10,9 +10,11 @@
 	"github.com/charmbracelet/log"
 
 	spar "sardinespar.example/spar"
+	"sardinespar.example/spar/budget"
 	"sardinespar.example/spar/gate"
 	"sardinespar.example/spar/pace"
 	"sardinespar.example/spar/rules"
+	"sardinespar.example/spar/tally"
 )
 
 // responseHeadBytes is the usual size in bytes of the header of a response between nodes.
@@ -25,20 +27,31 @@
 	clock        spar.Clock
 	log          *log.Logger
 	maxBodyBytes int64
+	memory       *budget.Budget
 	buffers      *copyBufferPool
+	// failedLog limits the log lines of requests that can't be read.
+	failedLog *tally.Limiter
 }
 
-// NewInbound returns a handler that passes requests to a gate and paces responses over the VM's link.
-func NewInbound(g *gate.Gate, link *pace.Link, clock spar.Clock, l *log.Logger, maxBodyBytes int64) *Inbound {
-	return &Inbound{gate: g, link: link, clock: clock, log: l, maxBodyBytes: maxBodyBytes, buffers: newCopyBufferPool()}
+// NewInbound returns a handler that passes requests to a gate and paces responses over the VM's link. It takes the
+// memory of bodies from a budget.
+func NewInbound(
+	g *gate.Gate, link *pace.Link, clock spar.Clock, l *log.Logger, maxBodyBytes int64, memory *budget.Budget,
+) *Inbound {
+	return &Inbound{
+		gate: g, link: link, clock: clock, log: l, maxBodyBytes: maxBodyBytes, memory: memory,
+		buffers: newCopyBufferPool(), failedLog: tally.NewLimiter(clock, maxFailedLines),
+	}
 }
 
 // ServeHTTP runs a request and sends its result back.
 func (i *Inbound) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(io.LimitReader(r.Body, i.maxBodyBytes+1))
-	if err != nil || int64(len(body)) > i.maxBodyBytes {
-		i.log.Warn("cannot read request from node", "bytes", len(body), "cause", err)
-		i.write(w, r.Header.Get(hopID), gate.Refused(spar.ReasonBadRequest, 0))
+	account := i.memory.Open(r.RemoteAddr)
+	defer account.Close()
+
+	body, err := i.readRequest(r, account)
+	if err != nil {
+		i.rejectBody(w, r, err)
 
 		return
 	}
@@ -54,6 +67,37 @@
 	i.write(w, req.ID, i.serve(r.Context(), req))
 }
 
+// readRequest reads the body of a request, for which there must be memory together with its head. Nodes always send the
+// length of a body; the longest is assumed for one without.
+func (i *Inbound) readRequest(r *http.Request, account *budget.Account) ([]byte, error) {
+	length := r.ContentLength
+	if length < 0 {
+		length = i.maxBodyBytes
+	}
+
+	if !account.Take(headBytes(r.Header) + min(length, i.maxBodyBytes)) {
+		return nil, errNoMemory
+	}
+
+	return readBody(r, i.maxBodyBytes, account)
+}
+
+// rejectBody responds to a request whose body was not read to its end.
+func (i *Inbound) rejectBody(w http.ResponseWriter, r *http.Request, err error) {
+	if dropped, ok := i.failedLog.Allow(); ok {
+		i.log.Warn("cannot read request from node", "bytes", r.ContentLength, "cause", err, "left_out", dropped)
+	}
+
+	w.Header().Set("Connection", "close")
+
+	result := gate.Refused(spar.ReasonBadRequest, 0)
+	if errors.Is(err, errNoMemory) {
+		result = gate.Refused(spar.ReasonMemory, memoryRetryAfter)
+	}
+
+	i.write(w, r.Header.Get(hopID), result)
+}
+
 // serve runs a request. A download is refused if the link could not send its response by the request's objective.
 func (i *Inbound) serve(ctx context.Context, req gate.Request) gate.Result {
 	if req.Kind != rules.Download {
--- a/entry/reply.go
+++ b/entry/reply.go
@@ -50,6 +50,8 @@
 
 	if bad.status == http.StatusServiceUnavailable {
 		setRetryAfter(w, memoryRetryAfter)
+		// The rest of the body is not read.
+		w.Header().Set("Connection", "close")
 	}
 
 	if bad.status == http.StatusUnauthorized {
--- a/httpd/conn.go
+++ b/httpd/conn.go
@@ -449,18 +449,24 @@
 	c.awaitClose()
 }
 
-// awaitClose waits until the connection is closed, without reading from it.
+// awaitClose waits until the connection is closed, or lingerTime has passed after the last response, without reading
+// from it.
 func (c *conn) awaitClose() {
-	for c.busy() && !c.gone() {
-		if c.src.raw == nil {
+	for !c.gone() {
+		busy := c.busy()
+
+		switch {
+		case busy && c.src.raw == nil:
 			<-c.ctx.Done()
 
+			return
+		case busy:
+			c.setIdleDeadline()
+		case c.src.raw == nil:
 			return
 		}
 
-		c.setIdleDeadline()
-
-		if c.src.watch() {
+		if c.src.watch() || !busy {
 			return
 		}
 	}
--- a/httpd/server.go
+++ b/httpd/server.go
@@ -54,6 +54,14 @@
 	Open(client string) Account
 }
 
+// ConnBudget is a Budget that also knows which connection an account belongs to.
+type ConnBudget interface {
+	Budget
+
+	// OpenConn returns the account of a new connection.
+	OpenConn(nc net.Conn) Account
+}
+
 // Account counts the memory that one connection holds.
 type Account interface {
 	// Take reserves n bytes and reports whether there is room for them.
@@ -200,16 +208,7 @@
 
 // open starts to serve a connection, or closes it if its memory is refused.
 func (s *Server) open(nc net.Conn) {
-	var account Account = unbounded{}
-
-	if s.deps.Budget != nil {
-		client, _, err := net.SplitHostPort(nc.RemoteAddr().String())
-		if err != nil {
-			client = nc.RemoteAddr().String()
-		}
-
-		account = s.deps.Budget.Open(client)
-	}
+	account := s.openAccount(nc)
 
 	if !account.Take(connBytes) {
 		s.deps.Tally.Count("spar_client_refused_connections_total")
@@ -236,6 +235,23 @@
 	go c.run()
 }
 
+// openAccount returns the account of a new connection.
+func (s *Server) openAccount(nc net.Conn) Account {
+	switch b := s.deps.Budget.(type) {
+	case nil:
+		return unbounded{}
+	case ConnBudget:
+		return b.OpenConn(nc)
+	default:
+		client, _, err := net.SplitHostPort(nc.RemoteAddr().String())
+		if err != nil {
+			client = nc.RemoteAddr().String()
+		}
+
+		return b.Open(client)
+	}
+}
+
 // remove forgets a connection that has ended.
 func (s *Server) remove(c *conn) {
 	s.mu.Lock()
