Read operators' rows and nodes again after a restore and tell peers of the era

A node went on with what it knew of the operators' rows, since the versions after a restore are lower, and a node that the store did not answer learned nothing of the restore.

The relay refreshes its followers when the era rises, and the states that nodes exchange hold the era, which a peer takes over. Zones whose withdrawal the restored table no longer lists stay withdrawn for 12 s, until operators have written their rows again. Rules never return to an earlier version, as before.

--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -62,6 +62,7 @@
 // onPeerState compares a peer's state with this node's. A peer that knows newer changes shows that this node has
 // missed them.
 func (r *Relay) onPeerState(s mesh.State) {
+	r.checkEra(s)
 	r.checkOperator(s)
 	r.crashes.check(s)
 
@@ -96,3 +97,28 @@
 	r.operator.feed.Refresh()
 	r.fleet.Refresh()
 }
+
+// checkEra records the era of the store that a peer knows, so that a node that the store does not answer learns of a
+// restore.
+func (r *Relay) checkEra(s mesh.State) {
+	eras := r.deps.Table.Eras()
+	if s.Era <= eras.Newest() {
+		return
+	}
+
+	if err := eras.Observe(s.Era); err != nil {
+		r.deps.Log.Warn("peer reports an unusable era of the store", "peer", s.Node, "cause", err)
+	}
+}
+
+// onEra reads the operators' table and the table of nodes again after the store was restored, and tells the peers.
+func (r *Relay) onEra(era int64, restored bool) {
+	if !restored {
+		return
+	}
+
+	r.deps.Log.Warn("store was restored from an older snapshot", "era", era)
+	r.operator.feed.Refresh()
+	r.fleet.Refresh()
+	r.mesh.Announce()
+}
--- a/relay/operator.go
+++ b/relay/operator.go
@@ -15,6 +15,7 @@
 // operator holds the settings of operators: the rules in force and the withdrawn zones.
 type operator struct {
 	adapter Adapter
+	clock   spar.Clock
 	log     *log.Logger
 	// feed follows the operators' table.
 	feed *follow.Follower
@@ -34,7 +35,7 @@
 }
 
 func newOperator(deps Deps, membership func() follow.Membership) *operator {
-	o := &operator{adapter: deps.Adapter, log: deps.Log, zones: zones.New()}
+	o := &operator{adapter: deps.Adapter, clock: deps.Clock, log: deps.Log, zones: zones.New()}
 	table := deps.Adapter.OperatorTable()
 	o.feed = follow.New(follow.Settings{Name: table, Prefix: table + "//"}, follow.Deps{
 		Clock: deps.Clock, Table: deps.Table, Log: deps.Log, Membership: membership, Replace: o.replace,
@@ -126,9 +127,32 @@
 
 // replaceZones applies a snapshot of the withdrawn zones from the store or a peer.
 func (o *operator) replaceZones(s zones.Snapshot) {
+	restored := s.Revision.Era() > o.zones.Snapshot().Revision.Era()
 	if o.zones.Replace(s) {
 		o.logZones()
 	}
+
+	if retained := o.zones.Retained(); restored && len(retained) > 0 {
+		o.log.Warn("restored store lists fewer withdrawn zones; keeping them withdrawn for a time", "zones", retained)
+		o.releaseZonesLater(s.Revision.Era())
+	}
+}
+
+// zoneRetention is how long zones stay withdrawn whose rows a restore of the store lost, until operators have written
+// them again. Requests to such a zone would break a withdrawal that operators believe to be in force.
+const zoneRetention spar.Millis = 12_000
+
+// releaseZonesLater ends the retention of zones after zoneRetention, unless the store has been restored again.
+func (o *operator) releaseZonesLater(era int64) {
+	t := o.clock.Timer(zoneRetention)
+
+	go func() {
+		<-t.C
+
+		if o.zones.Snapshot().Revision.Era() == era {
+			o.zones.Release()
+		}
+	}()
 }
 
 func (o *operator) logZones() {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -63,6 +63,8 @@
 type Table interface {
 	spar.Table
 	spar.Feed
+	// Eras returns the eras of the store that the client has seen.
+	Eras() *spar.Eras
 }
 
 // Deps are the dependencies of a Relay.
@@ -156,7 +158,7 @@
 		StoreTimeout: cfg.StoreTimeout, MaxCommandDelay: cfg.MaxCommandDelay,
 	}, owner.Deps{
 		Clock: deps.Clock, UnixMillis: deps.UnixMillis, Table: deps.Table, Maps: r.maps, Gate: r.gate, Mesh: r.mesh,
-		Peers: r.peerPool, Log: deps.Log,
+		Peers: r.peerPool, Log: deps.Log, Eras: deps.Table.Eras(),
 		Commands: r.commands(pool),
 		Keyed:    r.operator.Keyed, ZoneWithdrawn: r.operator.ZoneWithdrawn,
 		StoreRecovered: r.onStoreRecovered, Registered: r.onRegistered,
@@ -175,6 +177,8 @@
 	r.owner.Register(r.mux)
 	r.registerOperator()
 	r.crashes.register(r.mux)
+	// The owner watches the eras first, so that its grants are restricted before anything else is read.
+	deps.Table.Eras().Watch(r.onEra)
 
 	return r
 }
@@ -201,6 +205,7 @@
 		Leaving: r.leaving.Load(), ServerIncarnation: u.Incarnation, Ready: u.Ready && !u.Down, ColdMS: max(0, cold),
 		Load: r.gate.Load(), Utilization: r.owner.Utilization(), RulesVersion: r.operator.version(),
 		ZonesRevision: withdrawn.Revision, ZonesDigest: withdrawn.Digest(),
+		Era:         r.deps.Table.Eras().Newest(),
 		MapRevision: r.maps.Revision(r.cfg.Service), CrashDigest: r.crashes.detector.Digest(),
 	}
 }
--- a/zones/zones.go
+++ b/zones/zones.go
@@ -30,6 +30,8 @@
 	mu        sync.Mutex
 	withdrawn map[string]bool
 	revision  spar.Revision
+	// retained are zones that were withdrawn before the table was restored, and that the restored table does not list.
+	retained map[string]bool
 }
 
 // New returns an empty set as of revision 0.
@@ -42,10 +44,27 @@
 	z.mu.Lock()
 	defer z.mu.Unlock()
 
-	return z.withdrawn[zone]
+	return z.withdrawn[zone] || z.retained[zone]
 }
 
-// Snapshot returns all withdrawn zones.
+// Retained returns the zones that still count as withdrawn although the restored table does not list them, since the
+// restore may have lost their rows before operators write them again.
+func (z *Set) Retained() []string {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+
+	return slices.Sorted(maps.Keys(z.retained))
+}
+
+// Release ends the retention of zones.
+func (z *Set) Release() {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+
+	z.retained = nil
+}
+
+// Snapshot returns all withdrawn zones of the table, without the retained ones.
 func (z *Set) Snapshot() Snapshot {
 	z.mu.Lock()
 	defer z.mu.Unlock()
@@ -53,7 +72,8 @@
 	return Snapshot{Withdrawn: slices.Sorted(maps.Keys(z.withdrawn)), Revision: z.revision}
 }
 
-// Replace applies a snapshot if it is newer than what is known. It reports whether the withdrawn zones changed.
+// Replace applies a snapshot if it is newer than what is known. It reports whether the withdrawn zones changed. If the
+// snapshot is of a later era, zones that it no longer lists are retained.
 func (z *Set) Replace(s Snapshot) bool {
 	z.mu.Lock()
 	defer z.mu.Unlock()
@@ -67,9 +87,30 @@
 		next[zone] = true
 	}
 
+	if s.Revision.Era() > z.revision.Era() {
+		z.retainLocked(next)
+	}
+
 	return z.setLocked(next, s.Revision)
 }
 
+// retainLocked retains the withdrawn zones that are not in next.
+func (z *Set) retainLocked(next map[string]bool) {
+	retained := maps.Clone(z.retained)
+
+	for zone := range z.withdrawn {
+		if !next[zone] {
+			if retained == nil {
+				retained = map[string]bool{}
+			}
+
+			retained[zone] = true
+		}
+	}
+
+	z.retained = retained
+}
+
 // Apply applies all changes up to a revision, as the store delivers them. Changes that are not newer than what is
 // known are skipped. It reports whether the withdrawn zones changed.
 func (z *Set) Apply(changes []Change) bool {
@@ -84,6 +125,7 @@
 		}
 
 		revision = max(revision, c.Revision)
+		delete(z.retained, c.Zone)
 
 		if c.Withdrawn {
 			next[c.Zone] = true
--- a/zones/zones_test.go
+++ b/zones/zones_test.go
@@ -4,6 +4,7 @@
 	"slices"
 	"testing"
 
+	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
 	spar "sardinespar.example/spar"
@@ -110,3 +111,30 @@
 		}
 	})
 }
+
+// Guards against knowledge from before a restore that outweighs the restored table because its version was higher, and
+// against a zone whose withdrawal the restore lost being used before operators write the row again.
+func TestReplaceAfterRestore(t *testing.T) {
+	c := qt.New(t)
+	revision := func(era, version int64) spar.Revision {
+		r, err := spar.NewRevision(era, version)
+		c.Assert(err, qt.IsNil)
+
+		return r
+	}
+
+	z := zones.New()
+	z.Replace(zones.Snapshot{Withdrawn: []string{"a", "b", "c"}, Revision: revision(0, 90)})
+	c.Check(z.Retained(), qt.HasLen, 0)
+
+	restored := zones.Snapshot{Withdrawn: []string{"b"}, Revision: revision(1, 40)}
+	c.Check(z.Replace(restored), qt.IsTrue)
+	c.Check(z.Snapshot(), qt.DeepEquals, restored)
+	c.Check(z.Retained(), qt.DeepEquals, []string{"a", "c"})
+	c.Check([]bool{z.Withdrawn("a"), z.Withdrawn("b"), z.Withdrawn("c")}, qt.DeepEquals, []bool{true, true, true})
+	c.Check(z.Replace(zones.Snapshot{Revision: revision(0, 99)}), qt.IsFalse)
+
+	z.Apply([]zones.Change{{Zone: "a", Withdrawn: true, Revision: revision(1, 41)}})
+	z.Release()
+	c.Check([]bool{z.Withdrawn("a"), z.Withdrawn("b"), z.Withdrawn("c")}, qt.DeepEquals, []bool{true, true, false})
+}
