--- a/owner/restore_test.go
+++ b/owner/restore_test.go
@@ -362,3 +362,57 @@
 		synctest.Wait()
 	})
 }
+
+// lowestHeld restores the table from a snapshot that is some seconds old, and returns the lowest number of keys that
+// were held at the same time from then on, and when. If move is set, all keys of one node move after the snapshot.
+func lowestHeld(seed uint64, d delivery, move bool) (lowest int, at time.Duration) {
+	c, stop := newClusterWith(3, seed, flaw.Set{}, d, true)
+	giver := c.machines[0]
+
+	time.Sleep(12 * time.Second)
+
+	snapshot := c.memory.Snapshot()
+
+	giver.srv.draining.Store(move)
+	time.Sleep(8 * time.Second)
+	c.memory.Restore(snapshot)
+
+	restored := time.Now()
+	lowest = keymap.Keys
+
+	for time.Since(restored) < 40*time.Second {
+		n := c.oracle.held()
+		if move && c.oracle.count(giver.srv.incarnation) > 0 {
+			n = 0
+		}
+
+		if n < lowest {
+			lowest, at = n, time.Since(restored)
+		}
+
+		time.Sleep(50 * time.Millisecond)
+	}
+
+	c.close(stop)
+	synctest.Wait()
+
+	return lowest, at
+}
+
+// Guards against keys that lose their holder at a restore because their node waits as if others might hold them, and
+// against a move that is undone although reachable nodes know of it.
+func TestRestoreInterruptsNoKeys(t *testing.T) {
+	for _, d := range []delivery{byHeartbeat, byCommand} {
+		for _, move := range []bool{false, true} {
+			for seed := range uint64(4) {
+				t.Run(fmt.Sprintf("seed %d %v, move %t", seed, d, move), func(t *testing.T) {
+					synctest.Test(t, func(t *testing.T) {
+						if lowest, at := lowestHeld(seed, d, move); lowest != keymap.Keys {
+							t.Errorf("%d of %d keys held %v after the restore", lowest, keymap.Keys, at)
+						}
+					})
+				})
+			}
+		}
+	}
+}
