--- a/owner/lease.go
+++ b/owner/lease.go
@@ -39,7 +39,7 @@
 		switch keyed, known := o.deps.Keyed(o.cfg.Service); {
 		case !held:
 			ok = o.acquireLease(ctx)
-		case keyed || !known || o.departureUnrecorded():
+		case keyed || !known || o.departureUnrecorded() || o.leaseOutdated():
 			ok = o.renewLease(ctx)
 		}
 
@@ -184,7 +184,7 @@
 
 	o.mu.Lock()
 
-	if revision == 0 && len(o.deps.Maps.get(o.cfg.Service).Map.OwnedBy(o.cfg.Node)) == 0 {
+	if revision == 0 && !o.era.unmerged && len(o.deps.Maps.get(o.cfg.Service).Map.OwnedBy(o.cfg.Node)) == 0 {
 		// Any keys that an earlier process of this node granted have been taken over since.
 		o.tracker.Clear()
 	}
@@ -321,6 +321,8 @@
 	}
 
 	if !found {
+		o.noteMap(versioned{}, false)
+
 		return versioned{}, true
 	}
 
@@ -331,6 +333,7 @@
 		return versioned{}, false
 	}
 
+	o.noteMap(v, true)
 	o.adoptMap(o.cfg.Service, v)
 
 	return v, true
--- a/owner/plan.go
+++ b/owner/plan.go
@@ -49,6 +49,10 @@
 			members, since = names, now
 		}
 
+		if !o.maintainEra(ctx, o.leads(live)) {
+			continue
+		}
+
 		if o.leads(live) {
 			if now-reread >= rereadInterval {
 				reread = now
@@ -232,7 +236,8 @@
 }
 
 // takeOverNode deletes a lost node's lease and distributes its keys in one transaction, which fails if the node has
-// renewed its lease.
+// renewed its lease. After a restore of the table, which may have lost the lease or its renewals, change allows no
+// takeover until all leases from before the restore have ended.
 func (o *Owner) takeOverNode(ctx context.Context, node string, live []mesh.Peer) {
 	o.mu.Lock()
 	s := o.suspects[leaseKey(o.cfg.Service, node)]
