--- a/tally/tally.go
+++ b/tally/tally.go
@@ -44,6 +44,19 @@
 	}
 }
 
+// Set sets a counter that is counted elsewhere.
+func (t *Tally) Set(name string, n int64) {
+	if t == nil {
+		return
+	}
+
+	t.counters.Add(name, 0)
+
+	if v, ok := t.counters.Get(name).(*expvar.Int); ok {
+		v.Set(n)
+	}
+}
+
 // Observe adds a latency to a histogram.
 func (t *Tally) Observe(name string, d spar.Millis) {
 	if t == nil {
