--- a/entry/entry.go
+++ b/entry/entry.go
@@ -15,6 +15,7 @@
 	spar "sardinespar.example/spar"
 	"sardinespar.example/spar/conns"
 	"sardinespar.example/spar/gate"
+	"sardinespar.example/spar/httpd"
 	"sardinespar.example/spar/keymap"
 	"sardinespar.example/spar/mesh"
 	"sardinespar.example/spar/owner"
@@ -36,6 +37,9 @@
 	MaxBodyBytes int64
 	// MaxRulesAge is how long rules are used after a peer has announced newer ones.
 	MaxRulesAge spar.Millis
+	// SpreadByReports chooses among backend servers without keys by package spread, and otherwise by the lowest cost of
+	// a random sample.
+	SpreadByReports bool
 }
 
 // Deps are the dependencies of an Entry.
@@ -131,7 +135,11 @@
 	ctx, cancel := context.WithTimeout(r.Context(), (req.Deadline - arrived).Duration())
 	defer cancel()
 
-	result := e.routeUnlessQuarantined(ctx, req, rule)
+	result, ok := e.serialize(ctx, r, req)
+	if ok {
+		result = e.routeUnlessQuarantined(ctx, req, rule)
+	}
+
 	result.Service = req.Service
 	took := e.deps.Clock.Now() - arrived
 	e.record(req, result, rule, set.Version, took)
@@ -145,6 +153,26 @@
 	e.refuse(w, result)
 }
 
+// serialize lets a request that must not run twice wait until all earlier requests of its connection have been
+// answered: if one of these responses closes the connection, the client sends the request again. If the request's
+// time ends first, it returns false with the result.
+func (e *Entry) serialize(ctx context.Context, r *http.Request, req gate.Request) (gate.Result, bool) {
+	if req.Kind.Repeatable() {
+		return gate.Result{}, true
+	}
+
+	err := httpd.Serialize(ctx)
+
+	switch {
+	case err == nil:
+		return gate.Result{}, true
+	case r.Context().Err() != nil || !errors.Is(err, context.DeadlineExceeded):
+		panic(http.ErrAbortHandler)
+	}
+
+	return gate.Refused(spar.ReasonDeadline, minRetryAfter), false
+}
+
 // parse builds a request from its header and the rule that matches it.
 func (e *Entry) parse(r *http.Request, set *rules.Set, now spar.Millis) (gate.Request, rules.Rule, *rejection) {
 	names := e.cfg.Names
@@ -223,6 +251,8 @@
 	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
 
 	switch {
+	case errors.Is(err, httpd.ErrMemory):
+		return &rejection{http.StatusServiceUnavailable, "no memory for the body"}
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return &rejection{http.StatusRequestTimeout, "body not received in time"}
 	case err != nil:
