--- a/entry/reply.go
+++ b/entry/reply.go
@@ -25,6 +25,11 @@
 	cause  string
 }
 
+// dependsOnRules reports whether newer rules may serve the request: they may contain the missing route or key.
+func (r rejection) dependsOnRules() bool {
+	return r.status == http.StatusNotFound || r.status == http.StatusUnauthorized
+}
+
 // deliver passes a backend server's response on to the caller.
 func (e *Entry) deliver(w http.ResponseWriter, r gate.Result) {
 	h := w.Header()
@@ -47,6 +52,10 @@
 		setRetryAfter(w, memoryRetryAfter)
 	}
 
+	if bad.status == http.StatusUnauthorized {
+		e.deps.Tally.Count("spar_entry_unauthorized_total")
+	}
+
 	if _, ok := e.failedLog.Allow(); !ok {
 		e.writeText(w, bad.status, bad.cause)
 
