Admit tenants' requests by their quotas

Change: entry takes a credit after the quarantine check and before the first attempt, and another one before a repeated attempt if the last one reached a backend server; a credit that no attempt spent returns to the stock. Tests that use a tenant with a limit first wait until it is served, since shares are lent when the limit is new.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -64,6 +64,8 @@
 	// Quarantined reports whether a request must not run now because it crashes backend servers, and the time
 	// until it may.
 	Quarantined func(req gate.Request) (spar.Millis, bool)
+	// Quota limits the requests of tenants. It may be nil.
+	Quota Quota
 }
 
 // Entry serves the requests of callers on this VM.
--- a/entry/reply.go
+++ b/entry/reply.go
@@ -80,7 +80,7 @@
 }
 
 // refuse responds to a request that no backend server answered. Only a request that certainly has not run
-// gets status 503 and Retry-After.
+// gets status 503, or 429 if its tenant has used up its quota, and Retry-After.
 func (e *Entry) refuse(w http.ResponseWriter, result gate.Result) {
 	status := http.StatusBadGateway
 
@@ -89,8 +89,13 @@
 		status = http.StatusServiceUnavailable
 		after := max(minRetryAfter, result.RetryAfter)
 
-		// A quarantine lasts longer than any shortage.
-		if result.Reason != spar.ReasonQuarantined {
+		switch result.Reason {
+		case spar.ReasonQuarantined:
+			// A quarantine lasts longer than any shortage.
+		case spar.ReasonQuota:
+			// A shorter delay for some would bring their retries together.
+			status = http.StatusTooManyRequests
+		default:
 			after = min(maxRetryAfter, after)
 		}
 
--- a/entry/route.go
+++ b/entry/route.go
@@ -22,24 +22,30 @@
 	maxAttempts = 4
 )
 
-// routeUnlessQuarantined routes a request, or refuses it at once if it crashes backend servers.
+// routeUnlessQuarantined routes a request, or refuses it if it crashes backend servers or its tenant has used up its
+// quota.
 func (e *Entry) routeUnlessQuarantined(ctx context.Context, req gate.Request, rule rules.Rule) gate.Result {
 	if after, quarantined := e.deps.Quarantined(req); quarantined {
 		return gate.Refused(spar.ReasonQuarantined, after)
 	}
 
-	return e.route(ctx, req, rule)
+	d, refusal, ok := e.begin(ctx, req)
+	if !ok {
+		return refusal
+	}
+	defer d.end()
+
+	return e.route(ctx, req, rule, d)
 }
 
 // route sends a request to one node after another until it is answered or may not be sent again.
-func (e *Entry) route(ctx context.Context, req gate.Request, rule rules.Rule) gate.Result {
+func (e *Entry) route(ctx context.Context, req gate.Request, rule rules.Rule, d *delivery) gate.Result {
 	if req.Key != gate.NoKey {
-		return e.routeKeyed(ctx, req, rule)
+		return e.routeKeyed(ctx, req, rule, d)
 	}
 
 	var (
 		tried   = map[string]bool{}
-		sent    int
 		last    = gate.Refused(spar.ReasonUnreachable, minRetryAfter)
 		unknown bool
 	)
@@ -52,10 +58,10 @@
 
 		tried[c.Node] = true
 
-		r := e.attempt(ctx, c, req)
+		r := e.attempt(ctx, c, req, d)
 		r.Attempts = len(tried)
 
-		if !e.shouldRetry(ctx, req, rule, r, &sent) {
+		if !e.shouldRetry(ctx, req, rule, r, d) {
 			return finalResult(r, unknown)
 		}
 
@@ -87,23 +93,21 @@
 }
 
 // shouldRetry reports whether a request may be sent again after a result, and spends a retry where one is
-// needed. It counts the attempts that reached a backend server in sent.
-func (e *Entry) shouldRetry(ctx context.Context, req gate.Request, rule rules.Rule, r gate.Result, sent *int) bool {
+// needed.
+func (e *Entry) shouldRetry(
+	ctx context.Context, req gate.Request, rule rules.Rule, r gate.Result, d *delivery,
+) bool {
 	if ctx.Err() != nil || r.Reason == spar.ReasonQuarantined {
 		return false
 	}
 
-	if r.ReachedServer || r.Outcome == spar.OutcomeCompleted {
-		*sent++
-	}
-
 	switch r.Outcome {
 	case spar.OutcomeNotRun:
-		return !r.ReachedServer || e.spendRetry(req, rule, *sent)
+		return !r.ReachedServer || e.spendRetry(ctx, req, rule, d)
 	case spar.OutcomeUnknown:
-		return req.Kind.Repeatable() && e.spendRetry(req, rule, *sent)
+		return req.Kind.Repeatable() && e.spendRetry(ctx, req, rule, d)
 	case spar.OutcomeCompleted:
-		if r.Status < http.StatusInternalServerError || !req.Kind.Repeatable() || !e.spendRetry(req, rule, *sent) {
+		if r.Status < http.StatusInternalServerError || !req.Kind.Repeatable() || !e.spendRetry(ctx, req, rule, d) {
 			return false
 		}
 
@@ -115,19 +119,21 @@
 	return false
 }
 
-// spendRetry takes a retry from the budget, if the rule and the deadline allow one.
-func (e *Entry) spendRetry(req gate.Request, rule rules.Rule, sent int) bool {
+// spendRetry takes a retry from the budget, if the rule, the deadline and the tenant's quota allow one.
+func (e *Entry) spendRetry(ctx context.Context, req gate.Request, rule rules.Rule, d *delivery) bool {
 	remaining := req.Deadline - e.deps.Clock.Now()
 
-	return sent < max(1, rule.Attempts) && remaining > minRetryAfter && e.retries.Spend(req.Service)
+	return d.sent < max(1, rule.Attempts) && remaining > minRetryAfter && e.retries.Spend(req.Service) &&
+		d.renew(ctx, req.Objective)
 }
 
 // attempt sends a request to one node and records the result.
-func (e *Entry) attempt(ctx context.Context, c Candidate, req gate.Request) gate.Result {
+func (e *Entry) attempt(ctx context.Context, c Candidate, req gate.Request, d *delivery) gate.Result {
 	e.tracker.Begin(c.Node)
 	start := e.deps.Clock.Now()
 	r := e.send(ctx, c, req)
 	r.Node = c.Node
+	d.record(r)
 	e.deps.Tally.Observe("spar_entry_attempt_ms", e.deps.Clock.Now()-start)
 	failed := r.ReachedServer || r.Outcome == spar.OutcomeCompleted && r.Status >= http.StatusInternalServerError
 	e.tracker.End(c.Node, failed && ctx.Err() == nil)
@@ -167,11 +173,10 @@
 
 // routeKeyed sends a request to the owner of its key. While no owner accepts it, the request waits for a part
 // of the time to its objective, since moving a key to another server takes about that long.
-func (e *Entry) routeKeyed(ctx context.Context, req gate.Request, rule rules.Rule) gate.Result {
+func (e *Entry) routeKeyed(ctx context.Context, req gate.Request, rule rules.Rule, d *delivery) gate.Result {
 	var (
 		start    = e.deps.Clock.Now()
 		until    = start + (req.Objective-start)*ownerWaitShare
-		sent     int
 		attempts int
 		unknown  bool
 		last     = gate.Refused(spar.ReasonNoOwner, minRetryAfter)
@@ -183,10 +188,10 @@
 		c, missing := e.ownerOf(req)
 		if missing == "" {
 			attempts++
-			r := e.attempt(ctx, c, req)
+			r := e.attempt(ctx, c, req, d)
 			r.Attempts = attempts
 
-			if !e.shouldRetry(ctx, req, rule, r, &sent) || r.Reason == spar.ReasonShed && !r.ReachedServer {
+			if !e.shouldRetry(ctx, req, rule, r, d) || r.Reason == spar.ReasonShed && !r.ReachedServer {
 				return finalResult(r, unknown)
 			}
 
--- a/outcome.go
+++ b/outcome.go
@@ -56,6 +56,8 @@
 	ReasonSuspected    Reason = "suspected"
 	ReasonMethod       Reason = "method"
 	ReasonNotKept      Reason = "not_kept"
+	// ReasonQuota means that the tenant has used up its quota.
+	ReasonQuota Reason = "quota"
 	// ReasonCrashed means that the backend server crashed while it ran the call. An idempotent call may have
 	// one further attempt.
 	ReasonCrashed Reason = "crashed"
--- a/quota/plain_test.go
+++ b/quota/plain_test.go
@@ -297,3 +297,28 @@
 		f.finish(cancel)
 	})
 }
+
+// Guards against shares that grow while nodes are lost or restarted, and against a node that takes itself for the whole
+// fleet before it has read the table of nodes.
+func TestRosterKeepsLostNodes(t *testing.T) {
+	c := qt.New(t)
+	r := quota.NewRoster(0)
+	c.Check(r.Known(0), qt.Equals, 0)
+
+	r.Complete()
+	r.Add("a", 0, false, 100)
+	r.Add("b", 200, false, 200)
+	r.Add("c", 300, true, 300)
+	c.Check(r.Known(300), qt.Equals, 4)
+	c.Check(r.Known(500_000), qt.Equals, 4)
+
+	// Only the node that left in order is dropped after 10 minutes, and the others after 2 hours.
+	c.Check(r.Known(700_000), qt.Equals, 3)
+	c.Check(r.Known(7_000_000), qt.Equals, 3)
+	c.Check(r.Known(7_300_000), qt.Equals, 1)
+
+	unread := quota.NewRoster(0)
+	unread.Add("a", 100, false, 100)
+	c.Check(unread.Known(10_000), qt.Equals, 0)
+	c.Check(unread.Known(20_000), qt.Equals, 2)
+}
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -31,8 +31,11 @@
 	// startShare is the part of a lease for which a new process doesn't lend its share if it hears from at least
 	// heardShare of the nodes: an earlier process may have lent it to another coordinator. Otherwise it waits for the
 	// whole lease.
-	startShare = 0.5
+	startShare = 0.2
 	heardShare = 0.75
+	// joinShare is the part of a lease for which a new process asks the coordinators that it will replace, since they
+	// need some time to notice it and to hand over.
+	joinShare = 0.5
 	// tickInterval is the interval between two updates of the view.
 	tickInterval spar.Millis = 200
 	// aloneTime is how long a node keeps its share to itself after a coordinator referred it to one that it can't
@@ -407,7 +410,7 @@
 		return a.holder, true
 	case now < a.redirectUntil && !q.failing(a.redirect):
 		return a.redirect, true
-	case now < q.started+q.lease()*startShare && q.isTopLocked(a.name) && len(q.usable) > 1:
+	case now < q.started+q.lease()*joinShare && q.isTopLocked(a.name) && len(q.usable) > 1:
 		// The others have not handed the tenant over yet.
 		return q.secondLocked(a.name)
 	default:
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -37,6 +37,8 @@
 
 		r.mesh.AddPeer(n.Node, n.PeerAddr, n.Zone, n.Service)
 	}
+
+	r.roster.Complete()
 }
 
 // membership returns this node's place by name among the nodes that are alive.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -25,6 +25,7 @@
 	"sardinespar.example/spar/owner"
 	"sardinespar.example/spar/pace"
 	"sardinespar.example/spar/peers"
+	"sardinespar.example/spar/quota"
 	"sardinespar.example/spar/rules"
 	"sardinespar.example/spar/tally"
 )
@@ -120,6 +121,8 @@
 	pullingOperator atomic.Bool
 	announced       announcements
 	crashes         *crashLog
+	quota           *quota.Quota
+	roster          *quota.Roster
 	peerPool        *peers.Pool
 	// work is the context of background tasks. It ends when Run returns, after the requests in flight are drained.
 	work context.Context //nolint:containedctx // Tasks that answer a peer's state have no other context.
@@ -138,6 +141,7 @@
 	pool := conns.New(deps.Dial, deps.Clock, conns.Options{MaxIdle: maxIdle, IdleTimeout: poolIdleTimeout})
 	r.peerPool = peers.NewPool(deps.Dial, r.traffic)
 	r.crashes = newCrashLog(r)
+	r.quota, r.roster = r.newQuota(), quota.NewRoster(deps.Clock.Now())
 
 	r.gate = gate.New(gate.Settings{
 		Addr: cfg.AppAddr, Names: names, ColdShare: cfg.ColdShare, MaxBufferedBytes: int64(cfg.MaxBufferedBytes),
@@ -169,13 +173,14 @@
 		Clock: deps.Clock, Rules: r.operator.Rules, Mesh: r.mesh, Maps: r.maps, Gate: r.gate, Pool: pool,
 		Log: deps.Log, Tally: deps.Tally,
 		ZoneWithdrawn: r.operator.ZoneWithdrawn, Closing: r.leaving.Load, Closed: r.closed.Load, RulesLag: r.rulesLag,
-		Quarantined: r.crashes.Quarantined,
+		Quarantined: r.crashes.Quarantined, Quota: r.quota,
 	})
 	r.inbound = entry.NewInbound(r.gate, deps.Link, deps.Clock, deps.Log, int64(cfg.MaxBodyBytes))
 	r.mesh.Register(r.mux)
 	r.owner.Register(r.mux)
 	r.registerOperator()
 	r.crashes.register(r.mux)
+	r.quota.Register(r.mux)
 
 	return r
 }
@@ -221,7 +226,7 @@
 	defer cancel()
 
 	for _, run := range []func(context.Context){
-		r.mesh.Run, r.owner.Run,
+		r.mesh.Run, r.owner.Run, r.quota.Run,
 		r.operator.feed.Run, r.fleet.Run,
 		func(ctx context.Context) { r.servePeers(ctx, ln.Peer) },
 	} {
@@ -318,6 +323,7 @@
 	r.leaving.Store(true)
 	r.deps.Log.Info("leaving", "active", r.active.Load())
 	r.mesh.Announce()
+	r.quota.Leave(r.work)
 
 	for {
 		elapsed := r.deps.Clock.Now() - start
