--- a/quota/export_test.go
+++ b/quota/export_test.go
@@ -27,3 +27,11 @@
 		return nil, errors.New("unknown method")
 	}
 }
+
+// Share returns the sum of the shares of a tenant that are lent to this node.
+func (q *Quota) Share(tenant string) float64 {
+	q.coordinatorMu.Lock()
+	defer q.coordinatorMu.Unlock()
+
+	return q.coordinator.Share(q.deps.Clock.Now(), tenant)
+}
--- a/quota/fleet_test.go
+++ b/quota/fleet_test.go
@@ -127,9 +127,54 @@
 		f.boot(ctx, node)
 	}
 
+	f.wg.Go(func() { f.watchShares(ctx) })
+
 	return f
 }
 
+// watchShares checks that no share is lent to two coordinators at a time. That is stricter than the bound, which leaves
+// room for some seconds of it.
+func (f *simFleet) watchShares(ctx context.Context) {
+	const (
+		interval = 100 * time.Millisecond
+		most     = 1.001
+	)
+
+	for ctx.Err() == nil {
+		time.Sleep(interval)
+
+		for name := range f.tenants {
+			sum := 0.0
+
+			for _, p := range f.processes() {
+				sum += p.quota.Share(name)
+			}
+
+			if sum > most {
+				f.t.Errorf("after %v, coordinators have %.3f of the limit of %s", time.Since(f.start), sum, name)
+
+				return
+			}
+		}
+	}
+}
+
+// processes returns the processes that run.
+func (f *simFleet) processes() []*process {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	list := make([]*process, 0, len(f.nodes))
+
+	for _, n := range f.nodes {
+		if n.proc != nil {
+			list = append(list, n.proc)
+		}
+	}
+
+	return list
+}
+
 // interval and timeout are those of package mesh.
 func (f *simFleet) interval() time.Duration {
 	return max(400*time.Millisecond, time.Duration(len(f.nodes))*25*time.Millisecond)
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -82,6 +82,8 @@
 	// that answer calls.
 	live   map[string]Member
 	usable []Member
+	// view are the other live nodes in the last view.
+	view []Member
 	// tops caches the coordinator of each tenant among the usable nodes.
 	tops map[string]Member
 	// acting are the tenants that this node coordinates. Until the times in successions, it goes on with those that were
@@ -335,16 +337,12 @@
 // updateView replaces the view of the fleet.
 func (q *Quota) updateView(view View) {
 	q.known = view.Known
-	changed := len(view.Live)+1 != len(q.live)
 
-	for _, m := range view.Live {
-		changed = changed || q.live[m.Node] != m
-	}
-
-	if !changed {
+	if len(q.live) > 0 && slices.Equal(view.Live, q.view) {
 		return
 	}
 
+	q.view = view.Live
 	clear(q.live)
 
 	if !q.leaving {
