--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -24,8 +24,8 @@
 	}
 }
 
-// largeTenant returns a tenant with one of the largest limits. Its requests are what a simulation of a small fleet costs,
-// so a large fleet, which costs more by itself, has a tenant with fewer.
+// largeTenant returns a tenant with one of the largest limits. Its requests are most of the cost of simulating a small
+// fleet. A large fleet costs more by itself, so it has a tenant with fewer requests.
 func largeTenant(nodes int) *tenantLoad {
 	if nodes > sizes[0] {
 		return &tenantLoad{name: "large", rate: 80, burst: 80}
