--- a/spread/spread.go
+++ b/spread/spread.go
@@ -16,6 +16,8 @@
 	// there. Below it, the part that goes to all zones grows in proportion, since a limit that switches all requests at
 	// once makes the zones overrun each other in turns.
 	nearReserve = 0.3
+	// minRoom is a free share of a zone that counts as little, if two zones are compared that have almost no room.
+	minRoom = 0.05
 	// squareWeight is the weight of the squared utilization in the assumed slowdown of a server, since some servers slow
 	// down under load.
 	squareWeight = 0.6
@@ -27,6 +29,12 @@
 	reportDecay = 4
 	// coldFactor divides the capacity of a server that has just started.
 	coldFactor = 3
+	// noRoomFailureRate is the share of failed requests from which on a server of the chooser's zone counts as without
+	// room. A server that fails quickly is idle, and would otherwise keep the requests of its zone.
+	noRoomFailureRate = 0.5
+	// minSlowdown bounds a reported slowdown from below. Without a bound, a server that reports 0.01 by mistake gets
+	// nearly all requests.
+	minSlowdown = 0.5
 )
 
 // Server is what a node knows of a backend server when it chooses.
@@ -34,7 +42,7 @@
 	Slots int
 	// Load is the number of requests that were running or waiting at the server when it reported.
 	Load int
-	// ServiceTime is the time that the server usually takes for a request, as UsualTime keeps it.
+	// ServiceTime is the time that the server usually takes for a request, as UsualTime keeps it; 0 means unknown.
 	ServiceTime spar.Millis
 	// Slowdown is the reported ratio of the current service time to the usual one; 0 means unknown.
 	Slowdown float64
@@ -42,6 +50,10 @@
 	Age spar.Millis
 	// Sent is the number of requests that this node has sent to the server since the report.
 	Sent int
+	// InFlight is the number of requests of this node that the server has not yet answered.
+	InFlight int
+	// FailureRate is the share of this node's requests that the server failed.
+	FailureRate float64
 	// Penalty is added to the expected time, for failures or a longer way.
 	Penalty spar.Millis
 	// Near is true if the server is in the chooser's availability zone.
@@ -68,8 +80,8 @@
 type estimate struct {
 	// load is the expected number of requests running or waiting.
 	load float64
-	// service is the expected service time.
-	service spar.Millis
+	// usual and service are the usual service time and the expected one.
+	usual, service spar.Millis
 	// capacity and room are the requests per millisecond that the server can run, and those that it can run beside its
 	// present load. weight is the room with which it takes part in the choice.
 	capacity, room, weight float64
@@ -78,7 +90,7 @@
 // Choose returns the index of the server to use, or -1 if there is none. rnd returns random numbers from 0 to 1.
 //
 // The requests that were running when a server reported have ended after about one service time, so an old report says
-// little about the server: it counts less the older it is, and the mean of all servers takes its place. Requests that
+// little about the server: it counts less the older it is, and the mean of its zone takes its place. Requests that
 // the node itself has sent since then are known, and are added. Two servers are drawn with probabilities in proportion
 // to their free capacity, and the one that would complete the request first is used. Comparing all servers instead
 // would send the requests of all nodes to the same one until its next report.
@@ -93,6 +105,13 @@
 	}
 
 	second := draw(estimates, usable, rnd, first)
+
+	// A cold server is mostly idle and would win the comparison. Of two servers both are always drawn, so the factor in
+	// its free capacity has an effect only on which one is drawn first.
+	if second >= 0 && servers[second].Cold && !servers[first].Cold {
+		return first
+	}
+
 	if second >= 0 && cost(servers[second], estimates[second]) < cost(servers[first], estimates[first]) {
 		return second
 	}
@@ -102,32 +121,81 @@
 
 // estimateAll returns an estimate for each server.
 func estimateAll(servers []Server) []estimate {
-	var load, slots float64
+	var near, far utilization
 
 	for _, s := range servers {
-		load += float64(s.Load)
-		slots += float64(max(1, s.Slots))
+		if s.Near {
+			near.add(s)
+		} else {
+			far.add(s)
+		}
 	}
 
+	service := meanServiceTime(servers)
 	list := make([]estimate, len(servers))
+
 	for i, s := range servers {
-		list[i] = s.estimate(load / slots)
+		mean := far.mean()
+		if s.Near {
+			mean = near.mean()
+		}
+
+		list[i] = s.estimate(mean, service)
 	}
 
 	return list
 }
 
-// estimate returns the present state of a server, given the mean utilization of all servers.
-func (s Server) estimate(mean float64) estimate {
+// meanServiceTime returns the mean service time of the servers for which it is known.
+func meanServiceTime(servers []Server) spar.Millis {
+	var sum, known spar.Millis
+
+	for _, s := range servers {
+		if s.ServiceTime > 0 {
+			sum += s.ServiceTime
+			known++
+		}
+	}
+
+	return sum / max(1, known)
+}
+
+// utilization is the reported load and the slots of some servers. The chooser's zone and the others are kept apart,
+// since a zone stays full for longer than the report of one server means anything.
+type utilization struct {
+	load, slots float64
+}
+
+func (u *utilization) add(s Server) {
+	u.load += float64(s.Load)
+	u.slots += float64(max(1, s.Slots))
+}
+
+func (u *utilization) mean() float64 {
+	return u.load / max(1, u.slots)
+}
+
+// estimate returns the present state of a server, given the mean utilization of its zone, and the mean service time of
+// all servers, which is used if that of the server is unknown.
+func (s Server) estimate(mean float64, meanService spar.Millis) estimate {
 	slots := float64(max(1, s.Slots))
-	service := max(1, s.ServiceTime)
+
+	usual := s.ServiceTime
+	if usual <= 0 {
+		usual = meanService
+	}
+
+	usual = max(1, usual)
+	age := float64(max(0, s.Age))
+	service := usual
 
 	if s.Slowdown > 0 {
-		service *= spar.Millis(1 + (s.Slowdown-1)*math.Exp(-float64(s.Age/slowdownLife)))
+		service *= spar.Millis(1 + (max(minSlowdown, s.Slowdown)-1)*math.Exp(-age/float64(slowdownLife)))
 	}
 
-	trust := math.Exp(-reportDecay * float64(s.Age/service))
+	trust := math.Exp(-reportDecay * age / float64(service))
 	load := mean*slots + (float64(s.Load)-mean*slots)*trust + float64(s.Sent)
+	load = max(load, float64(s.InFlight))
 
 	perSlot := 1 / float64(service)
 	if s.Cold {
@@ -135,27 +203,52 @@
 	}
 
 	return estimate{
-		load: load, service: service, capacity: slots * perSlot, room: max(0, slots-load) * perSlot,
+		load: load, usual: usual, service: service, capacity: slots * perSlot, room: max(0, slots-load) * perSlot,
 		weight: max(minFree*slots, slots-load) * perSlot,
 	}
 }
 
-// nearShare returns the probability with which a request stays in the chooser's zone.
+// nearShare returns the probability with which a request stays in the chooser's zone. Cold and failing servers have no
+// room for it: if they are the only ones of the zone, its requests go to all zones. If the other zones have as little
+// room, crossing over would only cost bytes.
 func nearShare(servers []Server, estimates []estimate) float64 {
-	var room, capacity float64
+	var near, far zoneRoom
 
 	for i, s := range servers {
 		if s.Near {
-			room += estimates[i].room
-			capacity += estimates[i].capacity
+			near.add(s, estimates[i])
+		} else {
+			far.add(s, estimates[i])
 		}
 	}
 
-	if capacity <= 0 {
+	if near.capacity <= 0 {
 		return 0
 	}
 
-	return room / capacity / nearReserve
+	return max(near.share()/nearReserve, (near.share()+minRoom)/(far.share()+minRoom)-minRoom)
+}
+
+// zoneRoom is the capacity of some servers and its part that is free.
+type zoneRoom struct {
+	capacity, room float64
+}
+
+func (z *zoneRoom) add(s Server, e estimate) {
+	z.capacity += e.capacity
+
+	if !s.Cold {
+		z.room += e.room * max(0, 1-s.FailureRate/noRoomFailureRate)
+	}
+}
+
+// share returns the free share of the capacity.
+func (z *zoneRoom) share() float64 {
+	if z.capacity <= 0 {
+		return 0
+	}
+
+	return z.room / z.capacity
 }
 
 // draw returns a random server that is usable and isn't except, with a probability in proportion to its free capacity.
@@ -192,7 +285,5 @@
 	slots := float64(max(1, s.Slots))
 	utilization := e.load / slots
 	waiting := max(0, e.load+1-slots) / slots
-	usual := max(1, s.ServiceTime)
-
-	return float64(e.service/usual)*(1+squareWeight*utilization*utilization+waiting) + float64(s.Penalty/usual)
+	return float64(e.service/e.usual)*(1+squareWeight*utilization*utilization+waiting) + float64(s.Penalty/e.usual)
 }
