Leave nodes without limits alone

Cause: a node whose rules contain no limits copied the states of all peers five times a second for the quotas.

--- a/quota/plain_test.go
+++ b/quota/plain_test.go
@@ -322,3 +322,22 @@
 	c.Check(unread.Known(10_000), qt.Equals, 0)
 	c.Check(unread.Known(20_000), qt.Equals, 2)
 }
+
+// Guards against work on nodes whose rules contain no limits.
+func TestWithoutLimitsNothingIsDone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+
+		quota.New(quota.Settings{Node: "a"}, quota.Deps{
+			Clock: spar.RuntimeClock(), Log: log.New(io.Discard),
+			Limits:  func(string) (float64, float64, bool) { return 0, 0, false },
+			Tenants: func() []string { return nil },
+			Nodes: func() quota.View {
+				t.Error("the view was requested")
+
+				return quota.View{}
+			},
+		}).Run(ctx)
+	})
+}
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -305,8 +305,12 @@
 // tick updates the view, renews leases, hands over the buckets of tenants that have another coordinator, and publishes
 // the metrics.
 func (q *Quota) tick(ctx context.Context) {
-	view, names := q.deps.Nodes(), q.deps.Tenants()
-	now := q.deps.Clock.Now()
+	names := q.deps.Tenants()
+	if len(names) == 0 && q.unused() {
+		return
+	}
+
+	view, now := q.deps.Nodes(), q.deps.Clock.Now()
 
 	q.mu.Lock()
 	q.updateView(view)
@@ -334,6 +338,14 @@
 	q.handOver(ctx)
 }
 
+// unused reports whether no tenant has had a limit so far, so that there is nothing to do.
+func (q *Quota) unused() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	return len(q.accounts) == 0 && len(q.live) == 0
+}
+
 // updateView replaces the view of the fleet.
 func (q *Quota) updateView(view View) {
 	q.known = view.Known
