--- a/entry/entry.go
+++ b/entry/entry.go
@@ -69,6 +69,8 @@
 	Quarantined func(req gate.Request) (spar.Millis, bool)
 	// Memory bounds the memory that requests hold.
 	Memory *budget.Budget
+	// Quota limits the requests of tenants. It may be nil.
+	Quota Quota
 }
 
 // Entry serves the requests of callers on this VM.
--- a/outcome.go
+++ b/outcome.go
@@ -58,6 +58,8 @@
 	ReasonNotKept      Reason = "not_kept"
 	// ReasonMemory means that there was no memory for the request.
 	ReasonMemory Reason = "memory"
+	// ReasonQuota means that the tenant has used up its quota.
+	ReasonQuota Reason = "quota"
 	// ReasonCrashed means that the backend server crashed while it ran the call. An idempotent call may have
 	// one further attempt.
 	ReasonCrashed Reason = "crashed"
