Count all bytes that a read of a chunked body returns

A read of a body without a length reserved one step of 16 KiB and could then return as much as the socket held, so that a body sent in long chunks counted a fraction of its memory. A read is now limited to the bytes that are reserved. TestBudgetCountsLargeReads counted 37,576 bytes of 1 MiB before.

--- a/httpd/body.go
+++ b/httpd/body.go
@@ -76,6 +76,11 @@
 		return 0, err
 	}
 
+	// A longer read could return more than is reserved.
+	if b.length < 0 {
+		p = p[:min(int64(len(p)), b.room-b.read)]
+	}
+
 	n, err := b.src.Read(p)
 	b.read += int64(n)
 
--- a/httpd/time_test.go
+++ b/httpd/time_test.go
@@ -387,3 +387,29 @@
 		})
 	}
 }
+
+// Guards against a body without a length that takes more memory than is counted: a single read may return far more
+// than one step.
+func TestBudgetCountsLargeReads(t *testing.T) {
+	const size = 1 << 20
+
+	a := &account{limit: 1 << 30}
+	counted := make(chan int64, 1)
+	addr := startWith(t, settings, httpd.Deps{Budget: a, Handler: http.HandlerFunc(
+		func(_ http.ResponseWriter, r *http.Request) {
+			time.Sleep(50 * time.Millisecond)
+
+			_, err := io.ReadFull(r.Body, make([]byte, size))
+			qt.Check(t, err, qt.IsNil)
+
+			taken, _, _ := a.state()
+			counted <- taken
+		})})
+
+	c := dial(t, addr)
+	c.send("POST / HTTP/1.1\nHost: a\nTransfer-Encoding: chunked\n\n%x\n%s\n0\n\n", size, strings.Repeat("b", size))
+	c.answer("POST")
+
+	n := <-counted
+	qt.Check(t, n >= size, qt.IsTrue, qt.Commentf("%d counted", n))
+}
