--- a/httpd/conn.go
+++ b/httpd/conn.go
@@ -236,8 +236,6 @@
 		return nil, err
 	}
 
-	c.releaseLarge()
-
 	var until spar.Millis
 
 	for {
@@ -268,9 +266,10 @@
 	}
 }
 
-// releaseLarge returns the memory of a large read buffer once it was dropped.
+// releaseLarge drops a large read buffer without unread bytes and returns its memory.
 func (c *conn) releaseLarge() {
-	if c.large > 0 && c.src.reader.Size() == readerBytes {
+	if c.large > 0 && len(c.src.buffered()) == 0 {
+		c.src.release()
 		c.account.Release(c.large)
 		c.large = 0
 	}
@@ -278,6 +277,8 @@
 
 // awaitFirst waits for the first byte of a request. A connection is not idle while requests are in flight.
 func (c *conn) awaitFirst() error {
+	c.releaseLarge()
+
 	for {
 		if c.closing() {
 			return errClosing
--- a/httpd/time_test.go
+++ b/httpd/time_test.go
@@ -413,3 +413,24 @@
 	n := <-counted
 	qt.Check(t, n >= size, qt.IsTrue, qt.Commentf("%d counted", n))
 }
+
+// Guards against idle connections that count a large read buffer, which they no longer hold, until their next request:
+// a few hundred of them would take up the budget of a small machine.
+func TestIdleConnectionCountsNoLargeBuffer(t *testing.T) {
+	a := &account{limit: 1 << 30}
+	c := dial(t, startWith(t, settings, httpd.Deps{Budget: a, Handler: http.HandlerFunc(answerOK)}))
+	c.send("GET / HTTP/1.1\nHost: a\nX: %s\n\n", strings.Repeat("x", 20_000))
+	c.answer("GET")
+
+	var idle int64
+
+	for range 200 {
+		if idle, _, _ = a.state(); idle == 8<<10 {
+			return
+		}
+
+		time.Sleep(10 * time.Millisecond)
+	}
+
+	t.Errorf("%d bytes are counted", idle)
+}
