Don't stop reads of a body after the connection reads on

If a body was read once more by another goroutine while its handler returned, the deadline that ends such a read was set after the connection's goroutine had gone on to the next request. It stayed in the past, so that the kept connection was closed, or its goroutine ran in a busy loop while a request was in flight. Reads are now stopped only while the handler owns the body. TestReadOfEndedBodyKeepsConnection ended with a reset before.

--- a/httpd/conn.go
+++ b/httpd/conn.go
@@ -60,8 +60,9 @@
 	vec      [][]byte
 	// paused is true while the reader waits for requests to be answered, and kicked if it was woken.
 	paused, kicked bool
-	// bodyStopped is true while reads of the body must fail, since its handler has returned.
-	bodyStopped bool
+	// bodyOpen is true while the handler of the current request may read its body, and bodyStopped while these reads
+	// must fail, since the handler has returned.
+	bodyOpen, bodyStopped bool
 	// shut is true once the last response was sent, dead once the connection is closed, and ended once the reader
 	// has returned.
 	shut, dead, ended bool
@@ -177,31 +178,46 @@
 	last := x.req.Close || !x.http11()
 	hasBody := x.body != nil
 
+	if hasBody {
+		c.openBody()
+	}
+
 	c.enqueue(x, last)
 	c.server.start(x)
 
 	if hasBody {
 		<-c.bodyDone
-		c.resumeBody()
+		c.closeBody()
 	}
 
 	return !last
 }
 
-// stopBody ends a read of a body.
+func (c *conn) openBody() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	c.bodyOpen = true
+}
+
+// stopBody ends a read of a body. It does nothing once the connection's goroutine reads on.
 func (c *conn) stopBody() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
-	c.bodyStopped = true
-	_ = c.nc.SetReadDeadline(time.Unix(1, 0))
+	if c.bodyOpen {
+		c.bodyStopped = true
+		_ = c.nc.SetReadDeadline(time.Unix(1, 0))
+	}
 }
 
-// resumeBody lets the connection be read again after stopBody.
-func (c *conn) resumeBody() {
+// closeBody lets the connection's goroutine read on, also after stopBody.
+func (c *conn) closeBody() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
+	c.bodyOpen = false
+
 	if c.bodyStopped {
 		c.bodyStopped = false
 		c.deadline = 0
--- a/httpd/framing_test.go
+++ b/httpd/framing_test.go
@@ -366,3 +366,47 @@
 		c.ended()
 	}
 }
+
+// Guards against a kept connection that is closed, or read in a busy loop, since its body was read once more by another
+// goroutine at the moment at which its handler returned.
+func TestReadOfEndedBodyKeepsConnection(t *testing.T) {
+	var stop chan struct{}
+
+	addr := start(t, settings, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = io.WriteString(w, "x")
+
+		if stop != nil {
+			close(stop)
+		}
+
+		stop = make(chan struct{})
+		reading := make(chan struct{})
+
+		go func(stop chan struct{}) {
+			close(reading)
+
+			for b := make([]byte, 1); ; {
+				select {
+				case <-stop:
+					return
+				default:
+					_, _ = r.Body.Read(b)
+				}
+			}
+		}(stop)
+
+		<-reading
+	})
+
+	c := dial(t, addr)
+
+	for range 500 {
+		c.send("POST / HTTP/1.1\nHost: a\nContent-Length: 1\n\nb")
+
+		_, body := c.answer("POST")
+		qt.Assert(t, body, qt.Equals, "x")
+	}
+
+	close(stop)
+}
