Don't take an idle client for a slow one

The time for which a connection has been receiving without a complete request was counted from an earlier search for stalled connections, however long ago: a client found receiving in a shortage, then idle, was closed as slow as soon as it sent its next request during another shortage. The time now begins anew if two searches are more than the slow time apart. TestSlowIsCountedFromRecentSearches fails without this condition.

--- a/budget/listener.go
+++ b/budget/listener.go
@@ -234,27 +234,31 @@
 	return stateReceiving
 }
 
-// progress is since when a connection has been found without a complete request, and the number of its requests then.
+// progress is since when a connection has been found receiving without a complete request, when it was found last, and
+// the number of its requests then.
 type progress struct {
-	since    spar.Millis
-	requests int64
-	found    bool
+	since, last spar.Millis
+	requests    int64
+	found       bool
 }
 
-// isSlow reports whether the connection has been receiving for SlowTime without completing a request.
-func (c *Conn) isSlow(s state, now spar.Millis) bool {
-	requests := c.requests.Load()
-
-	switch {
-	case s != stateReceiving:
-		c.slow = progress{}
-	case !c.slow.found || c.slow.requests != requests:
-		c.slow = progress{since: now, requests: requests, found: true}
-	default:
-		return now-c.slow.since >= c.listener.cfg.SlowTime
+// isSlow records the state of a connection and reports whether it has been receiving for slowTime without completing
+// a request. Searches are rare while nothing is short: what the connection did between two of them more than slowTime
+// apart is not known, so that the time begins anew.
+func (p *progress) isSlow(s state, requests int64, now, slowTime spar.Millis) bool {
+	if s != stateReceiving {
+		*p = progress{}
+
+		return false
 	}
 
-	return false
+	if !p.found || p.requests != requests || now-p.last > slowTime {
+		p.since = now
+	}
+
+	p.last, p.requests, p.found = now, requests, true
+
+	return now-p.since >= slowTime
 }
 
 // Run closes stalled connections when memory or connections are short, until ctx ends.
@@ -336,7 +340,7 @@
 
 		s := c.conn.state()
 
-		if c.conn.isSlow(s, now) {
+		if c.conn.slow.isSlow(s, c.conn.requests.Load(), now, l.cfg.SlowTime) {
 			slow = append(slow, c)
 		} else if s == stateStalled {
 			closeIf(c)
