Send no interim response after the response has begun

A handler that began its response before it read a body whose client waits for 100 Continue sent the interim response in the middle of its own one, so that the client read a broken body. As in net/http, nothing is sent then; the connection closes after the response, as before. TestNoContinueWithinResponse failed with an invalid chunk length before.

--- a/httpd/body.go
+++ b/httpd/body.go
@@ -164,7 +164,12 @@
 	switch {
 	case b.ended:
 		return true
-	case b.failed, b.expect, b.length-b.read > maxDiscardedBytes:
+	case b.expect:
+		// A later read must not send the interim response in the middle of the response.
+		b.expect = false
+
+		return false
+	case b.failed, b.length-b.read > maxDiscardedBytes:
 		return false
 	}
 
--- a/httpd/framing_test.go
+++ b/httpd/framing_test.go
@@ -410,3 +410,28 @@
 
 	close(stop)
 }
+
+// Guards against an interim response in the middle of a response that has begun before its handler reads the body.
+func TestNoContinueWithinResponse(t *testing.T) {
+	addr := start(t, settings, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(w, "a")
+		w.(http.Flusher).Flush()
+
+		b, err := io.ReadAll(r.Body)
+		qt.Check(t, err, qt.IsNil)
+		_, _ = w.Write(b)
+	})
+
+	c := dial(t, addr)
+	c.send("POST / HTTP/1.1\nHost: a\nExpect: 100-continue\nContent-Length: 1\n\n")
+
+	resp, err := http.ReadResponse(c.r, nil)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, resp.Close, qt.IsTrue)
+	c.send("b")
+
+	body, err := io.ReadAll(resp.Body)
+	qt.Check(t, err, qt.IsNil)
+	qt.Check(t, string(body), qt.Equals, "ab")
+	c.ended()
+}
