--- a/httpd/body.go
+++ b/httpd/body.go
@@ -76,6 +76,11 @@
 		return 0, err
 	}
 
+	// A longer read could return more than is reserved.
+	if b.length < 0 {
+		p = p[:min(int64(len(p)), b.room-b.read)]
+	}
+
 	n, err := b.src.Read(p)
 	b.read += int64(n)
 
@@ -159,7 +164,12 @@
 	switch {
 	case b.ended:
 		return true
-	case b.failed, b.expect, b.length-b.read > maxDiscardedBytes:
+	case b.expect:
+		// A later read must not send the interim response in the middle of the response.
+		b.expect = false
+
+		return false
+	case b.failed, b.length-b.read > maxDiscardedBytes:
 		return false
 	}
 
--- a/httpd/framing_test.go
+++ b/httpd/framing_test.go
@@ -366,3 +366,72 @@
 		c.ended()
 	}
 }
+
+// Guards against a kept connection that is closed, or read in a busy loop, since its body was read once more by another
+// goroutine at the moment at which its handler returned.
+func TestReadOfEndedBodyKeepsConnection(t *testing.T) {
+	var stop chan struct{}
+
+	addr := start(t, settings, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = io.WriteString(w, "x")
+
+		if stop != nil {
+			close(stop)
+		}
+
+		stop = make(chan struct{})
+		reading := make(chan struct{})
+
+		go func(stop chan struct{}) {
+			close(reading)
+
+			for b := make([]byte, 1); ; {
+				select {
+				case <-stop:
+					return
+				default:
+					_, _ = r.Body.Read(b)
+				}
+			}
+		}(stop)
+
+		<-reading
+	})
+
+	c := dial(t, addr)
+
+	for range 500 {
+		c.send("POST / HTTP/1.1\nHost: a\nContent-Length: 1\n\nb")
+
+		_, body := c.answer("POST")
+		qt.Assert(t, body, qt.Equals, "x")
+	}
+
+	close(stop)
+}
+
+// Guards against an interim response in the middle of a response that has begun before its handler reads the body.
+func TestNoContinueWithinResponse(t *testing.T) {
+	addr := start(t, settings, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(w, "a")
+		w.(http.Flusher).Flush()
+
+		b, err := io.ReadAll(r.Body)
+		qt.Check(t, err, qt.IsNil)
+		_, _ = w.Write(b)
+	})
+
+	c := dial(t, addr)
+	c.send("POST / HTTP/1.1\nHost: a\nExpect: 100-continue\nContent-Length: 1\n\n")
+
+	resp, err := http.ReadResponse(c.r, nil)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, resp.Close, qt.IsTrue)
+	c.send("b")
+
+	body, err := io.ReadAll(resp.Body)
+	qt.Check(t, err, qt.IsNil)
+	qt.Check(t, string(body), qt.Equals, "ab")
+	c.ended()
+}
--- a/httpd/time_test.go
+++ b/httpd/time_test.go
@@ -387,3 +387,50 @@
 		})
 	}
 }
+
+// Guards against a body without a length that takes more memory than is counted: a single read may return far more
+// than one step.
+func TestBudgetCountsLargeReads(t *testing.T) {
+	const size = 1 << 20
+
+	a := &account{limit: 1 << 30}
+	counted := make(chan int64, 1)
+	addr := startWith(t, settings, httpd.Deps{Budget: a, Handler: http.HandlerFunc(
+		func(_ http.ResponseWriter, r *http.Request) {
+			time.Sleep(50 * time.Millisecond)
+
+			_, err := io.ReadFull(r.Body, make([]byte, size))
+			qt.Check(t, err, qt.IsNil)
+
+			taken, _, _ := a.state()
+			counted <- taken
+		})})
+
+	c := dial(t, addr)
+	c.send("POST / HTTP/1.1\nHost: a\nTransfer-Encoding: chunked\n\n%x\n%s\n0\n\n", size, strings.Repeat("b", size))
+	c.answer("POST")
+
+	n := <-counted
+	qt.Check(t, n >= size, qt.IsTrue, qt.Commentf("%d counted", n))
+}
+
+// Guards against idle connections that count a large read buffer, which they no longer hold, until their next request:
+// a few hundred of them would take up the budget of a small machine.
+func TestIdleConnectionCountsNoLargeBuffer(t *testing.T) {
+	a := &account{limit: 1 << 30}
+	c := dial(t, startWith(t, settings, httpd.Deps{Budget: a, Handler: http.HandlerFunc(answerOK)}))
+	c.send("GET / HTTP/1.1\nHost: a\nX: %s\n\n", strings.Repeat("x", 20_000))
+	c.answer("GET")
+
+	var idle int64
+
+	for range 200 {
+		if idle, _, _ = a.state(); idle == 8<<10 {
+			return
+		}
+
+		time.Sleep(10 * time.Millisecond)
+	}
+
+	t.Errorf("%d bytes are counted", idle)
+}
