--- a/quota/coordinator.go
+++ b/quota/coordinator.go
@@ -240,8 +240,9 @@
 	p.bucket.Receive(now, limit, p.share, l.Level, l.Unused, now+min(keep, maxLease))
 }
 
-// Forget removes the bucket of a tenant if no share is lent to it and it is empty.
-func (c *Coordinator) Forget(now spar.Millis, tenant string) {
+// Forget removes the bucket of a tenant if no share is lent to it and it is empty. Tokens of a tenant without a limit are
+// lost, since nothing else would remove them; a new bucket starts empty.
+func (c *Coordinator) Forget(now spar.Millis, tenant string, limited bool) {
 	p, ok := c.pools[tenant]
 	if !ok {
 		return
@@ -249,7 +250,10 @@
 
 	p.expire(now)
 
-	if len(p.lenders) == 0 && p.bucket.Level() < epsilon && now-p.bucket.last > maxLease {
+	p.bucket.roll(now)
+
+	empty := p.bucket.Level() < epsilon || !limited
+	if empty && len(p.lenders) == 0 && p.bucket.Unused() == 0 {
 		delete(c.pools, tenant)
 	}
 }
--- a/quota/export_test.go
+++ b/quota/export_test.go
@@ -35,3 +35,13 @@
 
 	return q.coordinator.Share(q.deps.Clock.Now(), tenant)
 }
+
+// Remembered returns the number of tenants for which this node keeps an account, a bucket or the role of coordinator.
+func (q *Quota) Remembered() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.coordinatorMu.Lock()
+	defer q.coordinatorMu.Unlock()
+
+	return len(q.accounts) + len(q.acting) + len(q.coordinator.pools)
+}
--- a/quota/fleet_test.go
+++ b/quota/fleet_test.go
@@ -82,6 +82,14 @@
 	return l.rate, l.burst
 }
 
+// setLimit changes the limit of a tenant at all nodes.
+func (f *simFleet) setLimit(l *tenantLoad, rate, burst float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	l.rate, l.burst = rate, burst
+}
+
 // simFleet runs many Quotas in virtual time. Nodes hear from each other like those of package mesh: a lost node is
 // noticed by each other one at another time.
 type simFleet struct {
@@ -207,8 +215,10 @@
 		},
 		Tenants: func() []string {
 			names := make([]string, 0, len(f.tenants))
-			for name := range f.tenants {
-				names = append(names, name)
+			for name, l := range f.tenants {
+				if rate, _ := l.limit(); rate > 0 {
+					names = append(names, name)
+				}
 			}
 
 			return names
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -330,6 +330,12 @@
 	}
 
 	maps.DeleteFunc(q.successions, func(_ string, until spar.Millis) bool { return until <= now })
+	// Calls may name tenants that the rules of this node do not contain, or no longer.
+	maps.DeleteFunc(q.acting, func(name string, _ bool) bool {
+		_, succeeds := q.successions[name]
+
+		return !limited[name] && !succeeds
+	})
 	q.probeLocked(now)
 	q.publishLocked(now)
 	q.mu.Unlock()
--- a/quota/serve.go
+++ b/quota/serve.go
@@ -122,7 +122,8 @@
 	defer q.coordinatorMu.Unlock()
 
 	for _, name := range q.coordinator.Tenants() {
-		q.coordinator.Forget(now, name)
+		_, _, limited := q.deps.Limits(name)
+		q.coordinator.Forget(now, name, limited)
 	}
 }
 
