Return unused credits to the coordinator

Cause: the credit of a request that was admitted and then refused as not run went back to the stock of its node and expired there unless the node had another request of the tenant within 500 ms. Under overload, tenants lost part of their limits.

Change: credits that expire within 300 ms and that the node does not expect to use are returned to the coordinator that granted them. The coordinator takes them only while it counts them as unused, once for each stamp, and only up to the burst, so that nothing is added in any failure.

TestStockNeverExtendsCredits passes a zero stamp; its checks are the same.

--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -18,6 +18,8 @@
 	// makes up for the part of the current slot that has not passed.
 	recentSlot  spar.Millis = 100
 	recentSlots int         = 6
+	// unusedTime is the longest time for which a credit counts as unused.
+	unusedTime = recentSlot * spar.Millis(recentSlots)
 	// extraBurst is added to each burst, so that a tenant with a burst of 1 is still served while the share of a node
 	// is missing, and unusedFree is the number of possibly unused credits that leaves the capacity unchanged. Both
 	// together use half of the 20 requests by which a tenant may exceed its limit.
@@ -115,6 +117,27 @@
 	return n
 }
 
+// Return puts back up to n tokens of credits that were granted at a time and will not be used, and counts them as unused
+// no longer. Credits that are not counted anymore are lost, since their tokens would be added to the others. Tokens are
+// also lost if more credits than the burst may still be unused: returning and granting the same tokens again would
+// otherwise let any number of credits be unused at a time.
+func (b *Bucket) Return(now spar.Millis, limit Limit, share float64, at spar.Millis, n int) {
+	b.roll(now)
+
+	slot := slotOf(at)
+	if slot < 0 || slot > b.slot || slot <= b.slot-int64(recentSlots) {
+		return
+	}
+
+	counted := &b.recent[slot%int64(recentSlots)]
+	tokens := max(0, min(float64(n), *counted))
+	*counted -= tokens
+
+	burst := limit.Burst + extraBurst
+	room := burst*share - b.Unused()
+	b.level = max(b.level, min(b.level+tokens, room))
+}
+
 // Level returns the number of tokens.
 func (b *Bucket) Level() float64 {
 	return b.level
--- a/quota/coordinator.go
+++ b/quota/coordinator.go
@@ -26,6 +26,12 @@
 	At  spar.Millis `json:"at"`
 }
 
+// Unused is a number of credits that a node will not use, and when they were granted on the coordinator's clock.
+type Unused struct {
+	At      spar.Millis `json:"at"`
+	Credits int         `json:"credits"`
+}
+
 // Lending describes how a node lends its share of limits.
 type Lending struct {
 	// Node is the node that lends, and Share its share.
@@ -57,6 +63,9 @@
 	until spar.Millis
 	// released is the time of the stamp up to which lending is void, since the share was released.
 	released spar.Millis
+	// returned is the time of the newest stamp with which credits were returned. A call that arrives again has the same
+	// stamp, and its credits do not count again.
+	returned spar.Millis
 	// hungryUntil is the time until which the node counts as one that waits for credits.
 	hungryUntil spar.Millis
 }
@@ -100,7 +109,7 @@
 			l.share = 0
 		}
 
-		if l.share == 0 && now > max(l.until, l.released+maxLease, l.hungryUntil) {
+		if l.share == 0 && now > max(l.until, l.released+maxLease, l.hungryUntil, l.returned+unusedTime) {
 			delete(p.lenders, node)
 
 			continue
@@ -118,7 +127,7 @@
 func (p *pool) lender(node string) *lender {
 	l, ok := p.lenders[node]
 	if !ok {
-		l = &lender{released: spar.Millis(math.Inf(-1))}
+		l = &lender{released: spar.Millis(math.Inf(-1)), returned: spar.Millis(math.Inf(-1))}
 		p.lenders[node] = l
 	}
 
@@ -151,6 +160,26 @@
 	p.expire(now)
 }
 
+// Return puts back the credits that a node will not use. Each stamp of this coordinator permits one return, so that a
+// call that arrives twice returns nothing the second time.
+func (c *Coordinator) Return(now spar.Millis, tenant string, limit Limit, node string, stamp Stamp, unused []Unused) {
+	p := c.pool(now, tenant, limit)
+	l := p.lender(node)
+
+	if stamp.Run != c.run || stamp.At > now || stamp.At <= l.returned {
+		return
+	}
+
+	l.returned = stamp.At
+
+	for _, u := range unused {
+		// A credit that was granted after the stamp would outlive the record of the return.
+		if u.At <= stamp.At {
+			p.bucket.Return(now, limit, p.share, u.At, u.Credits)
+		}
+	}
+}
+
 // Take grants a node up to n credits. If it grants fewer, it returns the time after which the node should ask again.
 // If several nodes wait for credits, each gets an equal part of those that are left.
 func (c *Coordinator) Take(now spar.Millis, tenant string, limit Limit, node string, n int) (int, spar.Millis) {
--- a/quota/link.go
+++ b/quota/link.go
@@ -21,6 +21,9 @@
 	probeInterval spar.Millis = 1000
 	// goneInterval is the time between two calls to a coordinator that is leaving or not heard from.
 	goneInterval spar.Millis = 500
+	// returnTime is the rest of its validity in which a credit that is not expected to be used is returned. The view is
+	// updated at least once in this time, and the call needs some time to arrive.
+	returnTime spar.Millis = 300
 )
 
 // errReply is returned for a reply that does not answer the request.
@@ -31,6 +34,8 @@
 	Tenant  string `json:"tenant"`
 	Credits int    `json:"credits"`
 	Lend    bool   `json:"lend,omitempty"`
+	// Unused are credits that the coordinator granted and the node will not use.
+	Unused []Unused `json:"unused,omitempty"`
 }
 
 // takeRequest carries everything that a node wants from one coordinator.
@@ -132,8 +137,10 @@
 		w.Credits = BatchSize(a.waiting, a.stock.Len(now), a.demand.Ahead(now))
 	}
 
+	surplus := w.Credits == 0 && a.surplus(l, now) > 0
+
 	if !q.mayLend(a, l.member, now) {
-		return w, w.Credits > 0
+		return w, w.Credits > 0 || surplus
 	}
 
 	lease := q.lease()
@@ -146,11 +153,20 @@
 	}
 
 	// Without a fresh stamp, the first of two calls gets one.
-	due := w.Credits > 0 || a.holder.Node != l.member.Node || now-a.lentAt >= renew || now >= a.holdUntil
+	due := w.Credits > 0 || surplus || a.holder.Node != l.member.Node || now-a.lentAt >= renew || now >= a.holdUntil
 
 	return w, due
 }
 
+// surplus returns the number of credits to return to a coordinator.
+func (a *account) surplus(l *link, now spar.Millis) int {
+	if l.stamp == (Stamp{}) {
+		return 0
+	}
+
+	return a.stock.Surplus(now, returnTime, a.waiting+a.demand.Ahead(now), l.stamp.Run)
+}
+
 // runCalls makes one call after the other while any is due.
 func (q *Quota) runCalls(ctx context.Context, l *link) {
 	for {
@@ -204,6 +220,8 @@
 		anyDue = anyDue || due
 
 		if due || w.Lend {
+			// The credits are removed before they are sent: a call without a reply may have arrived.
+			w.Unused = a.stock.Remove(a.surplus(l, now), l.stamp.Run)
 			p.Take = append(p.Take, w)
 			p.accounts = append(p.accounts, a)
 		}
@@ -308,7 +326,7 @@
 		return
 	}
 
-	a.stock.Add(min(max(0, g.Credits), w.Credits), sent+creditTTL, now)
+	a.stock.Add(min(max(0, g.Credits), w.Credits), sent+creditTTL, l.stamp, now)
 
 	if g.Credits < w.Credits {
 		a.nextAsk = now + max(minRetry, min(maxRetry, g.RetryAfterMS))*spar.Millis(1+retryJitter*rand.Float64())
--- a/quota/plain_test.go
+++ b/quota/plain_test.go
@@ -99,13 +99,13 @@
 
 			if rapid.Bool().Draw(t, "add") {
 				n, expires := rapid.IntRange(0, 5).Draw(t, "n"), now+spar.Millis(rapid.IntRange(0, 500).Draw(t, "ttl"))
-				s.Add(n, expires, now)
+				s.Add(n, expires, quota.Stamp{}, now)
 				left[expires] += n
 
 				continue
 			}
 
-			expires, ok := s.Take(now)
+			expires, _, ok := s.Take(now)
 			if !ok {
 				continue
 			}
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -177,7 +177,7 @@
 
 // takeLocked takes a credit from the stock.
 func (q *Quota) takeLocked(a *account, now spar.Millis) (Credit, bool) {
-	expires, ok := a.stock.Take(now)
+	expires, granted, ok := a.stock.Take(now)
 	if !ok {
 		return Credit{}, false
 	}
@@ -188,7 +188,7 @@
 		a.counts.fallback++
 	}
 
-	return Credit{Tenant: a.name, Expires: expires}, true
+	return Credit{Tenant: a.name, Expires: expires, Granted: granted}, true
 }
 
 // waitLocked waits for a credit until a time. The lock is released while it waits.
@@ -237,7 +237,7 @@
 }
 
 // Return returns the credit of a request that did not reach a backend server. It stays valid only as long as it was
-// when it was granted.
+// when it was granted; if no other request here needs it, a call to the coordinator returns it before that.
 func (q *Quota) Return(c Credit) {
 	if c.Tenant == "" {
 		return
@@ -246,10 +246,11 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 
-	a := q.account(c.Tenant)
+	a, now := q.account(c.Tenant), q.deps.Clock.Now()
 	a.counts.granted--
-	a.stock.Add(1, c.Expires, q.deps.Clock.Now())
+	a.stock.Add(1, c.Expires, c.Granted, now)
 	a.wake()
+	q.askLocked(a, now)
 }
 
 // wake wakes the requests that wait for a credit.
--- a/quota/serve.go
+++ b/quota/serve.go
@@ -79,6 +79,10 @@
 			q.coordinator.Lend(now, w.Tenant, limit, lending)
 		}
 
+		if len(w.Unused) > 0 {
+			q.coordinator.Return(now, w.Tenant, limit, lending.Node, lending.Stamp, w.Unused)
+		}
+
 		g.Credits, g.RetryAfterMS = q.coordinator.Take(now, w.Tenant, limit, lending.Node, min(w.Credits, maxCredits))
 	}
 }
