--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -117,10 +117,10 @@
 	return n
 }
 
-// Return puts back up to n tokens of credits that were granted at a time and will not be used, and counts them as unused
-// no longer. Credits that are not counted anymore are lost, since their tokens would be added to the others. Tokens are
-// also lost if more credits than the burst may still be unused: returning and granting the same tokens again would
-// otherwise let any number of credits be unused at a time.
+// Return puts back up to n tokens of credits that were granted at the given time and will not be used. They no longer
+// count as unused. Credits that are not counted anymore are lost, since their tokens would be added to the others.
+// Tokens are also lost if more credits than the burst may still be unused: returning and granting the same tokens again
+// would otherwise let any number of credits be unused at a time.
 func (b *Bucket) Return(now spar.Millis, limit Limit, share float64, at spar.Millis, n int) {
 	b.roll(now)
 
--- a/quota/coordinator.go
+++ b/quota/coordinator.go
@@ -269,8 +269,8 @@
 	p.bucket.Receive(now, limit, p.share, l.Level, l.Unused, now+min(keep, maxLease))
 }
 
-// Forget removes the bucket of a tenant if no share is lent to it and it is empty. Tokens of a tenant without a limit are
-// lost, since nothing else would remove them; a new bucket starts empty.
+// Forget removes the bucket of a tenant if no share is lent to it and it is empty. Tokens of a tenant without a limit
+// are lost, since nothing else would remove them; a new bucket starts empty.
 func (c *Coordinator) Forget(now spar.Millis, tenant string, limited bool) {
 	p, ok := c.pools[tenant]
 	if !ok {
--- a/quota/return_test.go
+++ b/quota/return_test.go
@@ -32,7 +32,7 @@
 		for i := range 200 {
 			p := f.nodes[i%nodes].proc
 
-			credit, _, ok := p.quota.Take(f.ctx, l.name, p.clock.Now()+2*objective)
+			credit, _, ok := p.quota.Take(ctx, l.name, p.clock.Now()+2*objective)
 			if ok {
 				taken++
 
@@ -138,3 +138,35 @@
 		}
 	})
 }
+
+// Guards against unused credits without bound: nodes that return credits before they expire and are granted the same
+// tokens again keep them, while the rate adds more.
+func TestReturnedCreditsDoNotAccumulate(t *testing.T) {
+	c := qt.New(t)
+
+	for _, limit := range []quota.Limit{{Rate: 200, Burst: 1}, {Rate: 235, Burst: 235}} {
+		b := quota.NewBucket(0)
+		// held are the credits by the time of their grant.
+		held := map[spar.Millis]int{}
+		most := 0.0
+
+		for now := spar.Millis(0); now < 20_000; now += 10 {
+			b.Advance(now, limit, 1)
+			held[now] += b.Take(1000)
+
+			for at := now - 490; at < now-300; at += 10 {
+				for held[at] > 0 {
+					n := min(held[at], 3)
+					held[at] -= n
+					b.Return(now, limit, 1, at, n)
+					held[now] += b.Take(1000)
+				}
+			}
+
+			most = max(most, b.Level()+b.Unused())
+		}
+
+		bound := limit.Burst + 2 + 0.6*limit.Rate
+		c.Check(most <= bound+1e-6, qt.IsTrue, qt.Commentf("%+v: sum %v, at most %v", limit, most, bound))
+	}
+}
