Grant credits of limits beyond the range of integers

Change: the number of credits is bounded before the conversion.

Shown: TestVeryLargeLimit fails without the change (0 of 100 credits) and passes with it.

--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -110,7 +110,8 @@
 
 // Take takes up to n tokens as credits and returns how many it took.
 func (b *Bucket) Take(n int) int {
-	n = max(0, min(n, int(b.level+epsilon)))
+	// The level may be beyond the range of integers.
+	n = max(0, int(min(float64(n), b.level+epsilon)))
 	b.level = max(0, b.level-float64(n))
 	b.recent[b.slot%int64(recentSlots)] += float64(n)
 
--- a/quota/coordinator.go
+++ b/quota/coordinator.go
@@ -188,8 +188,8 @@
 	p := c.pool(now, tenant, limit)
 	hungry := p.hungry(now, node)
 	// Rounded up, since the tokens of many waiting nodes would otherwise exceed the capacity before each gets a second.
-	most := max(1, int(math.Ceil(p.bucket.Level()/float64(hungry))))
-	granted := p.bucket.Take(min(n, most))
+	most := max(1, math.Ceil(p.bucket.Level()/float64(hungry)))
+	granted := p.bucket.Take(int(min(float64(n), most)))
 	l := p.lender(node)
 
 	if granted >= n {
--- a/quota/plain_test.go
+++ b/quota/plain_test.go
@@ -46,6 +46,17 @@
 	c.Check(b.Level() <= 0.7001, qt.IsTrue, qt.Commentf("level %v", b.Level()))
 }
 
+// Guards against a limit beyond the range of integers, with which a tenant would get no credits.
+func TestVeryLargeLimit(t *testing.T) {
+	c := qt.New(t)
+	limit := quota.Limit{Rate: 1e300, Burst: 1e300}
+	k := quota.NewCoordinator(7)
+	k.Lend(0, "t", limit, quota.Lending{Node: "a", Share: 1, Lease: 60_000, Stamp: k.Stamp(0)})
+
+	n, _ := k.Take(1000, "t", limit, "a", 100)
+	c.Check(n, qt.Equals, 100)
+}
+
 // Guards against a rate that can't be used because the burst is smaller than the credits that may be unused.
 func TestBucketWithSmallBurstKeepsItsRate(t *testing.T) {
 	c := qt.New(t)
