--- a/quota/fleet_test.go
+++ b/quota/fleet_test.go
@@ -73,6 +73,8 @@
 	rate, burst float64
 	// served are the times at which requests reached a backend server, and refused those of refusals.
 	served, refused []time.Time
+	// overloaded is the part of the requests that backend servers refuse as not run.
+	overloaded float64
 }
 
 func (l *tenantLoad) limit() (float64, float64) {
@@ -428,7 +430,7 @@
 		return
 	}
 
-	_, after, ok := p.quota.Take(f.ctx, l.name, p.clock.Now()+objective)
+	credit, after, ok := p.quota.Take(f.ctx, l.name, p.clock.Now()+objective)
 
 	if f.ctx.Err() != nil {
 		return
@@ -445,6 +447,20 @@
 
 	time.Sleep(wait)
 
+	f.mu.Lock()
+	chance := f.random.Float64()
+	f.mu.Unlock()
+
+	l.mu.Lock()
+	notRun := chance < l.overloaded
+	l.mu.Unlock()
+
+	if notRun {
+		p.quota.Return(credit)
+
+		return
+	}
+
 	l.mu.Lock()
 	l.served = append(l.served, time.Now())
 	l.mu.Unlock()
--- a/quota/return_test.go
+++ b/quota/return_test.go
@@ -170,3 +170,36 @@
 		c.Check(most <= bound+1e-6, qt.IsTrue, qt.Commentf("%+v: sum %v, at most %v", limit, most, bound))
 	}
 }
+
+// Guards against a tenant that exceeds its limit when all backend servers refuse its requests and then recover at once,
+// while many nodes return credits, also to a coordinator that leaves and comes back.
+func TestBoundHoldsWhenOverloadEnds(t *testing.T) {
+	simulate(t, sizes[:1], func(ctx context.Context, t *testing.T, nodes int) {
+		ctx, cancel := context.WithCancel(ctx)
+		l := largeTenant(nodes)
+		f := newFleet(ctx, t, nodes, l)
+		overload := func(part float64) {
+			l.mu.Lock()
+			defer l.mu.Unlock()
+
+			l.overloaded = part
+		}
+
+		time.Sleep(warmUp)
+		overload(1)
+		f.generate(ctx, l, 10*l.rate, false, f.even)
+		time.Sleep(5 * time.Second)
+		overload(0)
+		time.Sleep(6 * time.Second)
+		overload(0.7)
+
+		node := f.coordinator(l.name)
+		f.leave(node)
+		f.boot(ctx, node)
+		time.Sleep(5 * time.Second)
+		overload(0)
+		time.Sleep(6 * time.Second)
+		f.finish(cancel)
+		f.checkBound(l, 0)
+	})
+}
