--- a/quota/fleet_test.go
+++ b/quota/fleet_test.go
@@ -73,6 +73,8 @@
 	rate, burst float64
 	// served are the times at which requests reached a backend server, and refused those of refusals.
 	served, refused []time.Time
+	// overloaded is the part of the requests that backend servers refuse as not run.
+	overloaded float64
 }
 
 func (l *tenantLoad) limit() (float64, float64) {
@@ -82,6 +84,14 @@
 	return l.rate, l.burst
 }
 
+// setLimit changes the limit of a tenant at all nodes.
+func (f *simFleet) setLimit(l *tenantLoad, rate, burst float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	l.rate, l.burst = rate, burst
+}
+
 // simFleet runs many Quotas in virtual time. Nodes hear from each other like those of package mesh: a lost node is
 // noticed by each other one at another time.
 type simFleet struct {
@@ -207,8 +217,10 @@
 		},
 		Tenants: func() []string {
 			names := make([]string, 0, len(f.tenants))
-			for name := range f.tenants {
-				names = append(names, name)
+			for name, l := range f.tenants {
+				if rate, _ := l.limit(); rate > 0 {
+					names = append(names, name)
+				}
 			}
 
 			return names
@@ -418,7 +430,7 @@
 		return
 	}
 
-	_, after, ok := p.quota.Take(f.ctx, l.name, p.clock.Now()+objective)
+	credit, after, ok := p.quota.Take(f.ctx, l.name, p.clock.Now()+objective)
 
 	if f.ctx.Err() != nil {
 		return
@@ -435,6 +447,20 @@
 
 	time.Sleep(wait)
 
+	f.mu.Lock()
+	chance := f.random.Float64()
+	f.mu.Unlock()
+
+	l.mu.Lock()
+	notRun := chance < l.overloaded
+	l.mu.Unlock()
+
+	if notRun {
+		p.quota.Return(credit)
+
+		return
+	}
+
 	l.mu.Lock()
 	l.served = append(l.served, time.Now())
 	l.mu.Unlock()
