Issue the epochs of a first map above those of earlier eras

If a restore loses the only map of a service with all processes that knew it, the first map of the new era counted its epochs from 1 again, so each key's next holder got an epoch that an earlier holder had. Nothing changes in era 0; no read, write or wait is added.

TestFirstMapOfEraReusesNoEpochs reported two reused epochs for each way to grant before the change and passes with it.

--- a/owner/change.go
+++ b/owner/change.go
@@ -31,7 +31,12 @@
 			return false
 		}
 
-		next, wanted := update(base.Map)
+		current := base.Map
+		if base.Revision == 0 {
+			current.LastEpoch = firstEpochs(era)
+		}
+
+		next, wanted := update(current)
 		if !wanted {
 			return true
 		}
--- a/owner/era.go
+++ b/owner/era.go
@@ -364,6 +364,12 @@
 	return next
 }
 
+// firstEpochs returns the epoch above which those of the first map of a service lie. A restore may have lost an earlier
+// map that no live node knows.
+func firstEpochs(era int64) int64 {
+	return era * epochGap
+}
+
 // leaseOutdated reports whether the lease was last written in an earlier era.
 func (o *Owner) leaseOutdated() bool {
 	o.mu.Lock()
