Ignore late deregistrations of earlier incarnations

Cause: a deregistration was matched by the backend server's id only. One that arrived after the next incarnation at the same id had started marked that one as departed, also in the lease row, so that it was shut out for good.

Change: the start (born) in the body of a deregistration is read and compared. If it is older than that of the incarnation in force, the deregistration is acknowledged, logged and ignored. Without a readable start it is handled as before. A deregistration before the first heartbeat blocks only incarnations up to its start.

Shown: TestLateDeregistrationIgnored passes, and fails in a copy in which the start is dropped. TestDeregistration* in platform pass. go test -race ./owner ./docs passes.

--- a/owner/beat.go
+++ b/owner/beat.go
@@ -86,7 +86,7 @@
 		return false, false
 	case b.Incarnation == o.incarnation && b.Seq <= o.seq:
 		return false, false
-	case b.Incarnation.ID == o.unknownDeparted.id && now-o.unknownDeparted.at < unknownDepartureWindow:
+	case o.unknownDeparted.ignores(b.Incarnation, now):
 		return false, false
 	}
 
--- a/owner/departure.go
+++ b/owner/departure.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 
 	spar "sardinespar.example/spar"
 	"sardinespar.example/spar/gate"
@@ -21,22 +22,45 @@
 // unknownDeparture is the deregistration of a backend server from which this process has received no heartbeat.
 type unknownDeparture struct {
 	id string
-	at spar.Millis
+	// startedMs is the start of the newest incarnation that has departed, or the maximum if it is not known.
+	startedMs int64
+	at        spar.Millis
+}
+
+// ignores reports whether a heartbeat that is received now may come from the departed backend server.
+func (u unknownDeparture) ignores(from spar.Incarnation, now spar.Millis) bool {
+	return from.ID == u.id && from.StartedMs <= u.startedMs && now-u.at < unknownDepartureWindow
 }
 
 // Deregister handles the deregistration of a backend server that shuts down. The server may continue to run for a
-// while, so the keys that it holds count as held until their grants expire.
-func (o *Owner) Deregister(ctx context.Context, id string) {
+// while, so the keys that it holds count as held until their grants expire. startedMs is the start of the server, or
+// nil if it is not known. A deregistration of an earlier incarnation than the one in force arrived late and changes
+// nothing.
+func (o *Owner) Deregister(ctx context.Context, id string, startedMs *int64) {
 	o.mu.Lock()
 
+	if startedMs != nil && *startedMs < o.incarnation.StartedMs {
+		current := o.incarnation
+		o.mu.Unlock()
+		o.deps.Log.Info("ignoring late deregistration", "id", id, "born", *startedMs, "current", current.ID,
+			"current_born", current.StartedMs)
+
+		return
+	}
+
 	if o.incarnation.ID != id {
-		o.unknownDeparted = unknownDeparture{id: id, at: o.deps.Clock.Now()}
+		o.noteUnknownDepartureLocked(id, startedMs)
 		o.mu.Unlock()
 		o.deps.Log.Info("unknown backend server deregisters", "id", id)
 
 		return
 	}
 
+	if startedMs != nil && *startedMs > o.incarnation.StartedMs {
+		// The next incarnation departs before its first heartbeat. The one in force has ended at the same address.
+		o.noteUnknownDepartureLocked(id, startedMs)
+	}
+
 	o.departed = o.incarnation
 	o.mu.Unlock()
 	o.deps.Log.Info("backend server deregisters", "id", id)
@@ -52,6 +76,21 @@
 	o.recordDeparture(ctx)
 }
 
+// noteUnknownDepartureLocked records the departure of a backend server that has sent no heartbeat to this process.
+func (o *Owner) noteUnknownDepartureLocked(id string, startedMs *int64) {
+	u := unknownDeparture{id: id, startedMs: math.MaxInt64, at: o.deps.Clock.Now()}
+	if startedMs != nil {
+		u.startedMs = *startedMs
+	}
+
+	// A late deregistration of an earlier incarnation must not hide that of a later one.
+	if last := o.unknownDeparted; last.id == id && u.at-last.at < unknownDepartureWindow && last.startedMs > u.startedMs {
+		return
+	}
+
+	o.unknownDeparted = u
+}
+
 // departedLocked returns the newest backend server that has deregistered or is draining.
 func (o *Owner) departedLocked() spar.Incarnation {
 	if o.draining {
--- a/owner/departure_test.go
+++ b/owner/departure_test.go
@@ -65,7 +65,7 @@
 			m.startProcess()
 		},
 		"leaves": func(m *machine, b owner.Heartbeat) {
-			m.process().owner.Deregister(m.c.ctx, b.Incarnation.ID)
+			m.process().owner.Deregister(m.c.ctx, b.Incarnation.ID, nil)
 			m.killProcess()
 			m.startProcess()
 		},
@@ -73,7 +73,7 @@
 			m.killProcess()
 			m.startProcess()
 			time.Sleep(time.Second)
-			m.process().owner.Deregister(m.c.ctx, b.Incarnation.ID)
+			m.process().owner.Deregister(m.c.ctx, b.Incarnation.ID, nil)
 		},
 	}
 
@@ -96,3 +96,68 @@
 		}), qt.IsTrue)
 	})
 }
+
+// Guards against a deregistration that arrives late and shuts out the next incarnation at the same id.
+func TestLateDeregistrationIgnored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, stop := newCluster(2, 2, flaw.Set{}, byHeartbeat)
+		m := c.machines[0]
+
+		time.Sleep(5 * time.Second)
+		m.srv.stop()
+		synctest.Wait()
+
+		b := owner.Heartbeat{Incarnation: m.srv.incarnation, Service: service, Addr: m.appAddr(), Slots: 9}
+		start := b.Incarnation.StartedMs
+		beat := func(startedMs int64) bool {
+			b.Incarnation.StartedMs = startedMs
+			b.Seq++
+			_, err := m.process().owner.Heartbeat(c.ctx, b)
+			qt.Check(t, err, qt.IsNil)
+
+			u := m.process().gate.Upstream()
+
+			return u.Ready && u.Incarnation == b.Incarnation
+		}
+		deregister := func(startedMs int64) {
+			m.process().owner.Deregister(c.ctx, b.Incarnation.ID, &startedMs)
+		}
+
+		b.Seq = 900
+
+		// The deregistration of the first incarnation arrives after a heartbeat of the second.
+		qt.Check(t, beat(start+10), qt.IsTrue)
+		deregister(start)
+		qt.Check(t, m.process().gate.Upstream().Ready, qt.IsTrue)
+		qt.Check(t, beat(start+10), qt.IsTrue)
+
+		// The second departs, and the third is accepted at once and after a restart of the process.
+		deregister(start + 10)
+		qt.Check(t, beat(start+10), qt.IsFalse)
+		qt.Check(t, beat(start+20), qt.IsTrue)
+		deregister(start + 20)
+		m.killProcess()
+		m.startProcess()
+		time.Sleep(time.Second)
+		deregister(start + 20)
+		deregister(start)
+		qt.Check(t, beat(start+20), qt.IsFalse)
+		qt.Check(t, beat(start+30), qt.IsTrue)
+
+		// The lease row names the departed incarnation, not the one in force.
+		m.killProcess()
+		m.startProcess()
+		time.Sleep(time.Second)
+		qt.Check(t, beat(start+30), qt.IsTrue)
+
+		// An incarnation that deregisters before its first heartbeat is not used, and neither is the one before it.
+		deregister(start + 40)
+		qt.Check(t, m.process().gate.Upstream().Ready, qt.IsFalse)
+		qt.Check(t, beat(start+30), qt.IsFalse)
+		qt.Check(t, beat(start+40), qt.IsFalse)
+		qt.Check(t, beat(start+50), qt.IsTrue)
+
+		c.close(stop)
+		synctest.Wait()
+	})
+}
