--- a/entry/choose.go
+++ b/entry/choose.go
@@ -121,14 +121,23 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
-	return now < t.stats(node).ejectedUntil
+	return now < t.knownLocked(node).ejectedUntil
+}
+
+// knownLocked returns a copy of the statistics of a node, without adding an entry for an unknown one.
+func (t *Tracker) knownLocked(node string) nodeStats {
+	if n, ok := t.nodes[node]; ok {
+		return *n
+	}
+
+	return nodeStats{}
 }
 
 // cost returns a ranking value in milliseconds: the expected duration, increased for failures, other zones and recently
 // started servers.
 func (t *Tracker) cost(c Candidate, kind rules.Kind) spar.Millis {
 	t.mu.Lock()
-	n := *t.stats(c.Node)
+	n := t.knownLocked(c.Node)
 	t.mu.Unlock()
 
 	slots := max(1, c.Load.Slots)
@@ -212,22 +221,32 @@
 
 	for i, c := range candidates {
 		n := t.stats(c.Node)
+		*n = n.withReport(c)
+		list[i] = n.server(c, kind, now)
+	}
 
-		// Another request may have observed a newer report between this one's list of candidates and now.
-		if c.LoadAt > n.reportedAt {
-			n.usual = spread.UsualTime(n.usual, c.Load.MeanServiceTime, c.LoadAt-n.reportedAt)
-			n.sent, n.reportedAt = 0, c.LoadAt
-		}
+	return list
+}
 
-		list[i] = spread.Server{
-			Slots: c.Load.Slots, Load: c.Load.Running + c.Load.Waiting, ServiceTime: n.usual,
-			Slowdown: float64(c.Load.Slowdown) / 100, Age: now - c.LoadAt, Sent: n.sent, Near: c.SameZone,
-			InFlight: n.inFlight, FailureRate: n.failureRate,
-			Penalty: failureCost(c, n.failureRate) + pathCost(c, kind), Cold: c.Cold,
-		}
+// withReport returns the statistics after the load report of a candidate.
+func (n nodeStats) withReport(c Candidate) nodeStats {
+	// Another request may have observed a newer report between this one's list of candidates and now.
+	if c.LoadAt > n.reportedAt {
+		n.usual = spread.UsualTime(n.usual, c.Load.MeanServiceTime, c.LoadAt-n.reportedAt)
+		n.sent, n.reportedAt = 0, c.LoadAt
 	}
 
-	return list
+	return n
+}
+
+// server returns what is known of a candidate's backend server.
+func (n nodeStats) server(c Candidate, kind rules.Kind, now spar.Millis) spread.Server {
+	return spread.Server{
+		Slots: c.Load.Slots, Load: c.Load.Running + c.Load.Waiting, ServiceTime: n.usual,
+		Slowdown: float64(c.Load.Slowdown) / 100, Age: now - c.LoadAt, Sent: n.sent, Near: c.SameZone,
+		InFlight: n.inFlight, FailureRate: n.failureRate,
+		Penalty: failureCost(c, n.failureRate) + pathCost(c, kind), Cold: c.Cold,
+	}
 }
 
 // Best returns the candidate with the lowest cost among a few random ones that were not yet tried for this request and
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -104,24 +104,25 @@
 func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := e.deps.Clock.Now()
 
-	set := e.deps.Rules()
-	if set == nil || e.deps.Closed() {
+	a := e.admission()
+	set := a.set
+
+	if a.closed {
 		e.refuse(w, gate.Refused(spar.ReasonLeaving, minRetryAfter))
 
 		return
 	}
 
-	lag, behind := e.deps.RulesLag()
-	if behind && lag > e.cfg.MaxRulesAge {
-		e.refuseStaleRules(w, r, set, lag)
+	if a.stale {
+		e.refuseStaleRules(w, r, set, a.lag)
 
 		return
 	}
 
 	req, rule, bad := e.parse(r, set, arrived)
 	if bad != nil {
-		if behind && bad.dependsOnRules() {
-			e.refuseStaleRules(w, r, set, lag)
+		if a.behind && bad.dependsOnRules() {
+			e.refuseStaleRules(w, r, set, a.lag)
 
 			return
 		}
@@ -166,6 +167,27 @@
 	e.refuse(w, result)
 }
 
+// admission is what decides whether the entry accepts requests at a moment.
+type admission struct {
+	set *rules.Set
+	// closed reports whether requests are refused, since there are no rules yet or the process is about to end.
+	closed bool
+	// behind reports whether a peer has announced newer rules, lag is for how long, and stale whether that is too long.
+	behind bool
+	lag    spar.Millis
+	stale  bool
+}
+
+// admission returns what decides now whether requests are accepted.
+func (e *Entry) admission() admission {
+	a := admission{set: e.deps.Rules()}
+	a.closed = a.set == nil || e.deps.Closed()
+	a.lag, a.behind = e.deps.RulesLag()
+	a.stale = a.behind && a.lag > e.cfg.MaxRulesAge
+
+	return a
+}
+
 // countResponse counts the part of a response that the gate of this node holds in memory. The response is sent even if
 // there is no room; the attempt makes stalled connections be closed.
 func (e *Entry) countResponse(account *budget.Account, r gate.Result) {
@@ -196,6 +218,13 @@
 
 // parse builds a request from its header and the rule that matches it.
 func (e *Entry) parse(r *http.Request, set *rules.Set, now spar.Millis) (gate.Request, rules.Rule, *rejection) {
+	return e.parseAs(r, set, now, func(rule rules.Rule) (rules.Tenant, bool) { return e.identify(r.Header, set, rule) })
+}
+
+// parseAs builds a request from its header, the rule that matches it and the tenant that identify returns for this rule.
+func (e *Entry) parseAs(
+	r *http.Request, set *rules.Set, now spar.Millis, identify func(rules.Rule) (rules.Tenant, bool),
+) (gate.Request, rules.Rule, *rejection) {
 	names := e.cfg.Names
 
 	id := r.Header.Get(names.RequestID)
@@ -208,7 +237,7 @@
 		return gate.Request{}, rules.Rule{}, &rejection{http.StatusNotFound, "no rule for this host and path"}
 	}
 
-	tenant, ok := e.identify(r.Header, set, rule)
+	tenant, ok := identify(rule)
 	if !ok {
 		return gate.Request{}, rules.Rule{}, &rejection{http.StatusUnauthorized, "missing or unknown API key"}
 	}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -196,33 +196,53 @@
 		return r
 	}
 
-	w := &Waiter{
-		Priority: req.Priority, Kind: req.Kind, Objective: req.Objective, Deadline: req.Deadline, Pipelined: req.Pipelined,
-	}
-	if ok, after := g.queue.Enter(w); !ok {
+	w := req.waiter()
+	if ok, after := g.queue.Enter(&w); !ok {
 		return Refused(spar.ReasonShed, after)
 	}
 
-	if r, ok := g.wait(ctx, w, departed); !ok {
-		g.queue.Release(w)
+	if r, ok := g.wait(ctx, &w, departed); !ok {
+		g.queue.Release(&w)
 
 		return r
 	}
 
 	// The state of the backend server may have changed during the wait.
 	if r, ok := g.check(req); !ok {
-		g.queue.Release(w)
+		g.queue.Release(&w)
 
 		return r
 	}
 
 	if r, ok := g.limitCold(req); !ok {
-		g.queue.Release(w)
+		g.queue.Release(&w)
 
 		return r
 	}
 
-	return g.run(ctx, w, req)
+	return g.run(ctx, &w, req)
+}
+
+// waiter returns the request as the queue sees it.
+func (r Request) waiter() Waiter {
+	return Waiter{
+		Priority: r.Priority, Kind: r.Kind, Objective: r.Objective, Deadline: r.Deadline, Pipelined: r.Pipelined,
+	}
+}
+
+// Foresee returns how long a request would wait for a slot if it arrived now. If the gate would refuse the request on
+// arrival, it returns false with the refusal. It changes nothing, and does not consider the rate limit of a cold server.
+func (g *Gate) Foresee(req Request) (wait spar.Millis, refusal Result, ok bool) {
+	if r, ok := g.check(req); !ok {
+		return 0, r, false
+	}
+
+	wait, ok = g.queue.Foresee(req.waiter())
+	if !ok {
+		return wait, Refused(spar.ReasonShed, max(minRetryAfter, wait)), false
+	}
+
+	return wait, Result{}, true
 }
 
 // check refuses a request that the backend server must not or cannot run now.
--- a/gate/queue.go
+++ b/gate/queue.go
@@ -148,6 +148,33 @@
 		return true, 0
 	}
 
+	if wait, ok := q.assessLocked(w); !ok {
+		return false, max(minRetryAfter, wait)
+	}
+
+	q.waiting = append(q.waiting, w)
+
+	return true, 0
+}
+
+// Foresee returns how long a request would wait for a slot if it arrived now, and whether Enter would accept it. It
+// changes neither the queue nor the request.
+func (q *Queue) Foresee(w Waiter) (wait spar.Millis, ok bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	if q.running < q.slots && len(q.waiting) == 0 {
+		return 0, true
+	}
+
+	w.arrival = q.arrivals + 1
+
+	return q.assessLocked(&w)
+}
+
+// assessLocked prepares a request for the queue, and returns its expected wait and whether it could be served by its
+// objective or deadline.
+func (q *Queue) assessLocked(w *Waiter) (wait spar.Millis, ok bool) {
 	now := q.clock.Now()
 	service := spar.Millis(q.serviceTime(w.class()))
 	w.late = !w.neededByRunningWork() && w.Objective <= now
@@ -156,16 +183,10 @@
 		w.Objective = now + (w.Objective-now)*pipelinedShare
 	}
 
-	wait := q.estimateWaitLocked(w)
+	wait = q.estimateWaitLocked(w)
 	w.startBy = w.latestStart(now, service)
 
-	if now+wait > w.startBy || now+wait+service > w.latestEnd() {
-		return false, max(minRetryAfter, wait)
-	}
-
-	q.waiting = append(q.waiting, w)
-
-	return true, 0
+	return wait, now+wait <= w.startBy && now+wait+service <= w.latestEnd()
 }
 
 // estimateWaitLocked estimates how long w waits for a slot: one mean service time, since all slots are in
--- a/spread/spread.go
+++ b/spread/spread.go
@@ -106,19 +106,24 @@
 
 	second := draw(estimates, usable, rnd, first)
 
-	// A cold server is mostly idle and would win the comparison. Of two servers both are always drawn, so the factor in
-	// its free capacity has an effect only on which one is drawn first.
-	if second >= 0 && servers[second].Cold && !servers[first].Cold {
-		return first
-	}
-
-	if second >= 0 && cost(servers[second], estimates[second]) < cost(servers[first], estimates[first]) {
+	if second >= 0 && preferSecond(servers, estimates, first, second) {
 		return second
 	}
 
 	return first
 }
 
+// preferSecond reports whether the second server drawn is used instead of the first.
+func preferSecond(servers []Server, estimates []estimate, first, second int) bool {
+	// A cold server is mostly idle and would win the comparison. Of two servers both are always drawn, so the factor in
+	// its free capacity has an effect only on which one is drawn first.
+	if servers[second].Cold && !servers[first].Cold {
+		return false
+	}
+
+	return cost(servers[second], estimates[second]) < cost(servers[first], estimates[first])
+}
+
 // estimateAll returns an estimate for each server.
 func estimateAll(servers []Server) []estimate {
 	var near, far utilization
@@ -254,15 +259,7 @@
 // draw returns a random server that is usable and isn't except, with a probability in proportion to its free capacity.
 // It returns -1 if there is none.
 func draw(estimates []estimate, usable func(int) bool, rnd func() float64, except int) int {
-	total := 0.0
-
-	for i, e := range estimates {
-		if i != except && usable(i) {
-			total += e.weight
-		}
-	}
-
-	at, last := rnd()*total, -1
+	at, last := rnd()*totalWeight(estimates, usable, except), -1
 
 	for i, e := range estimates {
 		if i == except || !usable(i) {
@@ -279,6 +276,19 @@
 	return last
 }
 
+// totalWeight returns the sum of the weights of the servers that are usable and aren't except.
+func totalWeight(estimates []estimate, usable func(int) bool, except int) float64 {
+	total := 0.0
+
+	for i, e := range estimates {
+		if i != except && usable(i) {
+			total += e.weight
+		}
+	}
+
+	return total
+}
+
 // cost ranks a server by the expected time of another request, as a multiple of the server's usual time. A faster
 // server has no lower cost: it is already drawn more often, and would be overrun if it also won each comparison.
 func cost(s Server, e estimate) float64 {
