Explain where a request would go

Operators could not see why a relay sends a request to a node or refuses it without sending one. relay.explain answers with the rule, the owner or the candidates with their probabilities, quota, admission and the local gate, from the functions that decide on real requests. It sends, takes and counts nothing and knows tenants by name only. sparctl relay explain prints the answer.

go test -race ./entry ./quota and go test -race ./platform -run Explain pass.

--- a/cmd/sparctl/shell/app.go
+++ b/cmd/sparctl/shell/app.go
@@ -85,6 +85,7 @@
 	a.timelineCommand(k)
 	a.quarantineCommands(k)
 	a.settingsCommands(k)
+	a.relayCommands(k)
 
 	name, status, err := parse(k, args)
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -20,6 +20,7 @@
 	"sardinespar.example/spar/keymap"
 	"sardinespar.example/spar/mesh"
 	"sardinespar.example/spar/owner"
+	"sardinespar.example/spar/quota"
 	"sardinespar.example/spar/rules"
 	"sardinespar.example/spar/tally"
 )
@@ -71,6 +72,8 @@
 	Memory *budget.Budget
 	// Quota limits the requests of tenants. It may be nil.
 	Quota Quota
+	// QuotaState returns the state of a tenant's quota. It may be nil.
+	QuotaState func(tenant string) quota.State
 }
 
 // Entry serves the requests of callers on this VM.
@@ -121,7 +124,7 @@
 
 	req, rule, bad := e.parse(r, set, arrived)
 	if bad != nil {
-		if a.behind && bad.dependsOnRules() {
+		if a.unsure(*bad) {
 			e.refuseStaleRules(w, r, set, a.lag)
 
 			return
@@ -188,6 +191,11 @@
 	return a
 }
 
+// unsure reports whether newer rules, which this node has not yet received, may serve a request that is rejected.
+func (a admission) unsure(bad rejection) bool {
+	return a.behind && bad.dependsOnRules()
+}
+
 // countResponse counts the part of a response that the gate of this node holds in memory. The response is sent even if
 // there is no room; the attempt makes stalled connections be closed.
 func (e *Entry) countResponse(account *budget.Account, r gate.Result) {
@@ -239,7 +247,7 @@
 
 	tenant, ok := identify(rule)
 	if !ok {
-		return gate.Request{}, rules.Rule{}, &rejection{http.StatusUnauthorized, "missing or unknown API key"}
+		return gate.Request{}, rule, &rejection{http.StatusUnauthorized, "missing or unknown API key"}
 	}
 
 	remaining := rule.Timeout
@@ -247,7 +255,7 @@
 	if text := r.Header.Get(names.Deadline); text != "" {
 		ms, err := strconv.ParseFloat(text, 64)
 		if err != nil || ms < 0 {
-			return gate.Request{}, rules.Rule{}, &rejection{http.StatusBadRequest, "bad header " + names.Deadline}
+			return gate.Request{}, rule, &rejection{http.StatusBadRequest, "bad header " + names.Deadline}
 		}
 
 		remaining = min(remaining, spar.Millis(ms)-replyMargin)
@@ -259,7 +267,7 @@
 	if s, _ := set.Service(service); s.Keyed {
 		n, err := strconv.Atoi(r.Header.Get(names.Key))
 		if err != nil || n < 0 || n >= keymap.Keys {
-			return gate.Request{}, rules.Rule{}, &rejection{http.StatusBadRequest, "bad header " + names.Key}
+			return gate.Request{}, rule, &rejection{http.StatusBadRequest, "bad header " + names.Key}
 		}
 
 		key = n
--- a/entry/reply.go
+++ b/entry/reply.go
@@ -78,35 +78,47 @@
 			"rules", set.Version, "behind_ms", int(lag), "host", r.Host, "path", r.URL.Path, "left_out", dropped)
 	}
 
-	e.refuse(w, gate.Refused(spar.ReasonOldRules, staleRulesRetryAfter))
+	e.refuse(w, staleRulesRefusal())
+}
+
+// staleRulesRefusal returns the refusal of a request that may be subject to newer rules.
+func staleRulesRefusal() gate.Result {
+	return gate.Refused(spar.ReasonOldRules, staleRulesRetryAfter)
 }
 
 // refuse responds to a request that no backend server answered. Only a request that certainly has not run
 // gets status 503, or 429 if its tenant has used up its quota, and Retry-After.
 func (e *Entry) refuse(w http.ResponseWriter, result gate.Result) {
-	status := http.StatusBadGateway
+	status, after := refusalStatus(result)
+	if after > 0 {
+		setRetryAfter(w, after)
+	}
+
+	e.writeText(w, status, string(result.Reason))
+}
 
+// refusalStatus returns the status and the retry delay of the response to a request that no backend server answered. The
+// delay is 0 if the request may have run.
+func refusalStatus(result gate.Result) (status int, after spar.Millis) {
 	switch {
 	case result.Outcome == spar.OutcomeNotRun:
-		status = http.StatusServiceUnavailable
-		after := max(minRetryAfter, result.RetryAfter)
+		after = max(minRetryAfter, result.RetryAfter)
 
 		switch result.Reason {
 		case spar.ReasonQuarantined:
 			// A quarantine lasts longer than any shortage.
+			return http.StatusServiceUnavailable, after
 		case spar.ReasonQuota:
 			// A shorter delay for some would bring their retries together.
-			status = http.StatusTooManyRequests
+			return http.StatusTooManyRequests, after
 		default:
-			after = min(maxRetryAfter, after)
+			return http.StatusServiceUnavailable, min(maxRetryAfter, after)
 		}
-
-		setRetryAfter(w, after)
 	case result.Reason == spar.ReasonDeadline:
-		status = http.StatusGatewayTimeout
+		return http.StatusGatewayTimeout, 0
 	}
 
-	e.writeText(w, status, string(result.Reason))
+	return http.StatusBadGateway, 0
 }
 
 func setRetryAfter(w http.ResponseWriter, after spar.Millis) {
--- a/entry/route.go
+++ b/entry/route.go
@@ -223,7 +223,7 @@
 func (e *Entry) routeKeyed(ctx context.Context, req gate.Request, rule rules.Rule, d *delivery) gate.Result {
 	var (
 		start    = e.deps.Clock.Now()
-		until    = start + (req.Objective-start)*ownerWaitShare
+		until    = start + ownerWait(req, start)
 		attempts int
 		unknown  bool
 		last     = gate.Refused(spar.ReasonNoOwner, minRetryAfter)
@@ -254,6 +254,11 @@
 	}
 }
 
+// ownerWait returns how long a request that arrives now may wait for the owner of its key.
+func ownerWait(req gate.Request, now spar.Millis) spar.Millis {
+	return (req.Objective - now) * ownerWaitShare
+}
+
 // withJitter spreads the retries of callers whose key has no owner over the time that moving a key takes.
 func withJitter(r gate.Result) gate.Result {
 	const minDelay, jitter = 100, 300
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -19,6 +19,7 @@
 	"sardinespar.example/spar/config"
 	"sardinespar.example/spar/conns"
 	"sardinespar.example/spar/entry"
+	"sardinespar.example/spar/explain"
 	"sardinespar.example/spar/follow"
 	"sardinespar.example/spar/gate"
 	"sardinespar.example/spar/httpd"
@@ -188,6 +189,7 @@
 		Log: deps.Log, Tally: deps.Tally,
 		ZoneWithdrawn: r.operator.ZoneWithdrawn, Closing: r.leaving.Load, Closed: r.closed.Load, RulesLag: r.rulesLag,
 		Quarantined: r.crashes.Quarantined, Memory: r.memory, Quota: r.quota,
+		QuotaState: r.quota.State,
 	})
 	r.inbound = entry.NewInbound(r.gate, deps.Link, deps.Clock, deps.Log, int64(cfg.MaxBodyBytes), r.memory)
 	r.mesh.Register(r.mux)
@@ -195,6 +197,9 @@
 	r.registerOperator()
 	r.crashes.register(r.mux)
 	r.quota.Register(r.mux)
+	peers.Handle(r.mux, explain.Method, func(_ context.Context, p explain.Params) (explain.Result, error) {
+		return r.entry.Explain(p)
+	})
 	// The owner watches the eras first, so that its grants are restricted before anything else is read.
 	deps.Table.Eras().Watch(r.onEra)
 
