--- a/cmd/sparctl/shell/relay.go
+++ b/cmd/sparctl/shell/relay.go
@@ -27,7 +27,8 @@
 	cmd.Flag("path", "Path of the request, with the query.").Required().StringVar(&p.Path)
 	cmd.Flag("method", "Method of the request.").Default(http.MethodGet).StringVar(&p.Method)
 	cmd.Flag("key", "Key of the request, if its service has keys.").StringVar(&p.Key)
-	cmd.Flag("id", "Id of the request; it selects the service if the rule has several.").Default("explain").StringVar(&p.ID)
+	cmd.Flag("id", "Id of the request; it selects the service if the rule has several.").
+		Default("explain").StringVar(&p.ID)
 	cmd.Flag("time-left", "Milliseconds that remain to the request; default: the timeout of its rule.").
 		StringVar(&p.TimeLeft)
 	cmd.Flag("tenant", "Name of the tenant that sends the request.").StringVar(&p.Tenant)
@@ -78,11 +79,12 @@
 	printf(w, "rules: version %d", x.Rules.Version)
 
 	if x.Rules.Behind {
-		printf(w, ", peers announce newer ones for %s%s", formatMillis(x.Rules.Lag), formatFlags(flag{"stale", x.Rules.Stale}))
+		printf(w, ", peers announce newer ones for %s%s\n", formatMillis(x.Rules.Lag),
+			formatFlags(flag{"stale", x.Rules.Stale}))
+	} else {
+		printf(w, ", no peer announces newer ones\n")
 	}
 
-	printf(w, "\n")
-
 	r := x.Rule
 	if r == nil {
 		return
@@ -148,7 +150,8 @@
 		return
 	}
 
-	printf(w, "\nNODE\tZONE\tCHOSEN\tSTATE\tSLOTS\tRUNNING\tWAITING\tSERVICE\tUSUAL\tSLOWDOWN\tREPORT AGE\tFAILED\tIN FLIGHT\n")
+	printf(w, "\nNODE\tZONE\tCHOSEN\tSTATE\tSLOTS\tRUNNING\tWAITING\tSERVICE\tUSUAL\tSLOWDOWN\tREPORT AGE\tFAILED\t"+
+		"IN FLIGHT\n")
 
 	for _, c := range list {
 		state := "ready"
--- a/cmd/sparctl/shell/relay_test.go
+++ b/cmd/sparctl/shell/relay_test.go
@@ -44,10 +44,14 @@
 			{
 				[]string{"--path", "/a?b", "--method", "PUT", "--id", "i", "--key", "3", "--tenant", "t", "--time-left", "90"},
 				shell.ExitOK,
-				[]string{"goes to: n1: owner of the key", "epoch 5, known, not alive", "version 7, peers announce newer ones for 20 ms"},
+				[]string{
+					"goes to: n1: owner of the key", "epoch 5, known, not alive",
+					"version 7, peers announce newer ones for 20 ms",
+				},
 			},
 			{
-				[]string{"--path", "/"}, shell.ExitOK,
+				[]string{"--path", "/"},
+				shell.ExitOK,
 				[]string{"refused: 503 unreachable: no node; retry after 50 ms", "n2    b     0.0 %   zone withdrawn"},
 			},
 			{[]string{"--path", "a"}, shell.ExitFailed, []string{"path: invalid"}},
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -229,7 +229,7 @@
 	return e.parseAs(r, set, now, func(rule rules.Rule) (rules.Tenant, bool) { return e.identify(r.Header, set, rule) })
 }
 
-// parseAs builds a request from its header, the rule that matches it and the tenant that identify returns for this rule.
+// parseAs builds a request from its header, the rule that matches it and the tenant that identify returns for the rule.
 func (e *Entry) parseAs(
 	r *http.Request, set *rules.Set, now spar.Millis, identify func(rules.Rule) (rules.Tenant, bool),
 ) (gate.Request, rules.Rule, *rejection) {
--- a/entry/reply.go
+++ b/entry/reply.go
@@ -97,8 +97,8 @@
 	e.writeText(w, status, string(result.Reason))
 }
 
-// refusalStatus returns the status and the retry delay of the response to a request that no backend server answered. The
-// delay is 0 if the request may have run.
+// refusalStatus returns the status and the retry delay of the response to a request that no backend server answered.
+// The delay is 0 if the request may have run.
 func refusalStatus(result gate.Result) (status int, after spar.Millis) {
 	switch {
 	case result.Outcome == spar.OutcomeNotRun:
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -231,7 +231,7 @@
 }
 
 // Foresee returns how long a request would wait for a slot if it arrived now. If the gate would refuse the request on
-// arrival, it returns false with the refusal. It changes nothing, and does not consider the rate limit of a cold server.
+// arrival, it returns false with the refusal. It changes nothing and ignores the rate limit of a cold server.
 func (g *Gate) Foresee(req Request) (wait spar.Millis, refusal Result, ok bool) {
 	if r, ok := g.check(req); !ok {
 		return 0, r, false
