--- a/entry/export_test.go
+++ b/entry/export_test.go
@@ -5,3 +5,9 @@
 	SetLoad = setLoad
 	GetLoad = getLoad
 )
+
+// SampleProbabilities and SpreadProbabilities are compared with the choices of Best and Spread.
+var (
+	SampleProbabilities = (*Tracker).sampleProbabilities
+	SpreadProbabilities = (*Tracker).spreadProbabilities
+)
