--- a/entry/entry.go
+++ b/entry/entry.go
@@ -20,6 +20,7 @@
 	"sardinespar.example/spar/keymap"
 	"sardinespar.example/spar/mesh"
 	"sardinespar.example/spar/owner"
+	"sardinespar.example/spar/quota"
 	"sardinespar.example/spar/rules"
 	"sardinespar.example/spar/tally"
 )
@@ -71,6 +72,8 @@
 	Memory *budget.Budget
 	// Quota limits the requests of tenants. It may be nil.
 	Quota Quota
+	// QuotaState returns the state of a tenant's quota. It may be nil.
+	QuotaState func(tenant string) quota.State
 }
 
 // Entry serves the requests of callers on this VM.
@@ -104,24 +107,25 @@
 func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := e.deps.Clock.Now()
 
-	set := e.deps.Rules()
-	if set == nil || e.deps.Closed() {
+	a := e.admission()
+	set := a.set
+
+	if a.closed {
 		e.refuse(w, gate.Refused(spar.ReasonLeaving, minRetryAfter))
 
 		return
 	}
 
-	lag, behind := e.deps.RulesLag()
-	if behind && lag > e.cfg.MaxRulesAge {
-		e.refuseStaleRules(w, r, set, lag)
+	if a.stale {
+		e.refuseStaleRules(w, r, set, a.lag)
 
 		return
 	}
 
 	req, rule, bad := e.parse(r, set, arrived)
 	if bad != nil {
-		if behind && bad.dependsOnRules() {
-			e.refuseStaleRules(w, r, set, lag)
+		if a.unsure(*bad) {
+			e.refuseStaleRules(w, r, set, a.lag)
 
 			return
 		}
@@ -166,6 +170,32 @@
 	e.refuse(w, result)
 }
 
+// admission is what decides whether the entry accepts requests at a moment.
+type admission struct {
+	set *rules.Set
+	// closed reports whether requests are refused, since there are no rules yet or the process is about to end.
+	closed bool
+	// behind reports whether a peer has announced newer rules, lag is for how long, and stale whether that is too long.
+	behind bool
+	lag    spar.Millis
+	stale  bool
+}
+
+// admission returns what decides now whether requests are accepted.
+func (e *Entry) admission() admission {
+	a := admission{set: e.deps.Rules()}
+	a.closed = a.set == nil || e.deps.Closed()
+	a.lag, a.behind = e.deps.RulesLag()
+	a.stale = a.behind && a.lag > e.cfg.MaxRulesAge
+
+	return a
+}
+
+// unsure reports whether newer rules, which this node has not yet received, may serve a request that is rejected.
+func (a admission) unsure(bad rejection) bool {
+	return a.behind && bad.dependsOnRules()
+}
+
 // countResponse counts the part of a response that the gate of this node holds in memory. The response is sent even if
 // there is no room; the attempt makes stalled connections be closed.
 func (e *Entry) countResponse(account *budget.Account, r gate.Result) {
@@ -196,6 +226,13 @@
 
 // parse builds a request from its header and the rule that matches it.
 func (e *Entry) parse(r *http.Request, set *rules.Set, now spar.Millis) (gate.Request, rules.Rule, *rejection) {
+	return e.parseAs(r, set, now, func(rule rules.Rule) (rules.Tenant, bool) { return e.identify(r.Header, set, rule) })
+}
+
+// parseAs builds a request from its header, the rule that matches it and the tenant that identify returns for the rule.
+func (e *Entry) parseAs(
+	r *http.Request, set *rules.Set, now spar.Millis, identify func(rules.Rule) (rules.Tenant, bool),
+) (gate.Request, rules.Rule, *rejection) {
 	names := e.cfg.Names
 
 	id := r.Header.Get(names.RequestID)
@@ -208,9 +245,9 @@
 		return gate.Request{}, rules.Rule{}, &rejection{http.StatusNotFound, "no rule for this host and path"}
 	}
 
-	tenant, ok := e.identify(r.Header, set, rule)
+	tenant, ok := identify(rule)
 	if !ok {
-		return gate.Request{}, rules.Rule{}, &rejection{http.StatusUnauthorized, "missing or unknown API key"}
+		return gate.Request{}, rule, &rejection{http.StatusUnauthorized, "missing or unknown API key"}
 	}
 
 	remaining := rule.Timeout
@@ -218,7 +255,7 @@
 	if text := r.Header.Get(names.Deadline); text != "" {
 		ms, err := strconv.ParseFloat(text, 64)
 		if err != nil || ms < 0 {
-			return gate.Request{}, rules.Rule{}, &rejection{http.StatusBadRequest, "bad header " + names.Deadline}
+			return gate.Request{}, rule, &rejection{http.StatusBadRequest, "bad header " + names.Deadline}
 		}
 
 		remaining = min(remaining, spar.Millis(ms)-replyMargin)
@@ -230,7 +267,7 @@
 	if s, _ := set.Service(service); s.Keyed {
 		n, err := strconv.Atoi(r.Header.Get(names.Key))
 		if err != nil || n < 0 || n >= keymap.Keys {
-			return gate.Request{}, rules.Rule{}, &rejection{http.StatusBadRequest, "bad header " + names.Key}
+			return gate.Request{}, rule, &rejection{http.StatusBadRequest, "bad header " + names.Key}
 		}
 
 		key = n
