--- a/httpd/conn.go
+++ b/httpd/conn.go
@@ -58,14 +58,14 @@
 	flushing bool
 	batch    []*exchange
 	vec      [][]byte
-	// paused is true while the reader waits for requests to be answered, and kicked if it was woken.
-	paused, kicked bool
+	// paused is true while the reader waits for requests to be answered, and woken if it was woken.
+	paused, woken bool
 	// bodyOpen is true while the handler of the current request may read its body, and bodyStopped while these reads
 	// must fail, since the handler has returned.
 	bodyOpen, bodyStopped bool
-	// shut is true once the last response was sent, dead once the connection is closed, and ended once the reader
+	// finished is true once the last response was sent, closed once the connection is, and ended once the reader
 	// has returned.
-	shut, dead, ended bool
+	finished, closed, ended bool
 	// deadline is the read deadline on the server's clock; 0 if it is not known.
 	deadline spar.Millis
 }
@@ -115,7 +115,7 @@
 // fail closes the connection and cancels all of its requests.
 func (c *conn) fail() {
 	c.mu.Lock()
-	c.dead = true
+	c.closed = true
 	c.mu.Unlock()
 
 	c.cancel()
@@ -330,7 +330,7 @@
 
 // setDeadlineLocked sets the read deadline, unless the connection ends already or the deadline wakes the reader.
 func (c *conn) setDeadlineLocked(at spar.Millis) {
-	if c.shut || c.kicked || c.bodyStopped || c.deadline == at {
+	if c.finished || c.woken || c.bodyStopped || c.deadline == at {
 		return
 	}
 
@@ -343,7 +343,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
-	return len(c.queue) > 0 && !c.shut && !c.dead
+	return len(c.queue) > 0 && !c.finished && !c.closed
 }
 
 // closing reports whether no further request may be read.
@@ -351,7 +351,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
-	return c.last != nil || c.dead
+	return c.last != nil || c.closed
 }
 
 // awaitRoom waits until a request may start. It returns false if the connection ends first.
@@ -359,7 +359,7 @@
 	for {
 		c.mu.Lock()
 
-		ends := c.last != nil || c.dead
+		ends := c.last != nil || c.closed
 		room := c.hasRoomLocked(alone, size)
 		c.paused = !ends && !room
 		paused := c.paused
@@ -404,23 +404,23 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
-	c.paused, c.kicked = false, false
+	c.paused, c.woken = false, false
 
 	c.deadline = 0
 
-	if c.shut {
+	if c.finished {
 		c.lingerLocked()
 	}
 
 	return hungUp
 }
 
-// kickLocked ends a pause.
-func (c *conn) kickLocked() {
+// wakeReaderLocked ends a pause.
+func (c *conn) wakeReaderLocked() {
 	switch {
-	case !c.paused || c.kicked:
+	case !c.paused || c.woken:
 	case c.src.raw != nil:
-		c.kicked = true
+		c.woken = true
 		_ = c.nc.SetReadDeadline(time.Unix(1, 0))
 	default:
 		c.paused = false
@@ -493,5 +493,5 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
-	return c.dead
+	return c.closed
 }
--- a/httpd/queue.go
+++ b/httpd/queue.go
@@ -66,7 +66,7 @@
 		}
 	}
 
-	c.kickLocked()
+	c.wakeReaderLocked()
 	c.mu.Unlock()
 
 	for _, q := range behind {
@@ -93,11 +93,11 @@
 
 	c.flushing = false
 
-	if len(c.queue) > 0 && !c.shut && !c.dead {
+	if len(c.queue) > 0 && !c.finished && !c.closed {
 		c.queue[0].beginTurnLocked()
 	}
 
-	c.kickLocked()
+	c.wakeReaderLocked()
 	c.settleLocked()
 }
 
@@ -114,7 +114,7 @@
 	}
 
 	c.batch = append(c.batch[:0], c.queue[:n]...)
-	last, skip := c.last, c.shut || c.dead
+	last, skip := c.last, c.finished || c.closed
 
 	c.mu.Unlock()
 
@@ -200,7 +200,7 @@
 	}
 
 	c.mu.Lock()
-	c.shut = true
+	c.finished = true
 	c.lingerLocked()
 	c.mu.Unlock()
 
@@ -247,7 +247,7 @@
 // turnErrLocked returns an error if the response will never be sent.
 func (x *exchange) turnErrLocked() error {
 	c := x.conn
-	if c.dead || c.shut || c.last != nil && c.last.seq < x.seq {
+	if c.closed || c.finished || c.last != nil && c.last.seq < x.seq {
 		return errClosing
 	}
 
--- a/quota/coordinator.go
+++ b/quota/coordinator.go
@@ -9,8 +9,8 @@
 const (
 	// maxLease bounds the time for which a node can lend its share.
 	maxLease spar.Millis = 60_000
-	// hungryTime is how long a node that got fewer credits than it asked for counts as one that waits for credits.
-	hungryTime spar.Millis = 500
+	// waitTime is how long a node that got fewer credits than it asked for counts as one that waits for credits.
+	waitTime spar.Millis = 500
 	// minRetry and maxRetry bound the time after which a node asks again.
 	minRetry spar.Millis = 20
 	maxRetry spar.Millis = 500
@@ -66,8 +66,8 @@
 	// returned is the time of the newest stamp with which credits were returned. A call that arrives again has the same
 	// stamp, and its credits do not count again.
 	returned spar.Millis
-	// hungryUntil is the time until which the node counts as one that waits for credits.
-	hungryUntil spar.Millis
+	// waitsUntil is the time until which the node counts as one that waits for credits.
+	waitsUntil spar.Millis
 }
 
 // NewCoordinator returns a coordinator to which no share is lent. Each process has another run.
@@ -109,7 +109,7 @@
 			l.share = 0
 		}
 
-		if l.share == 0 && now > max(l.until, l.released+maxLease, l.hungryUntil, l.returned+unusedTime) {
+		if l.share == 0 && now > max(l.until, l.released+maxLease, l.waitsUntil, l.returned+unusedTime) {
 			delete(p.lenders, node)
 
 			continue
@@ -186,38 +186,38 @@
 	const second = 1000
 
 	p := c.pool(now, tenant, limit)
-	hungry := p.hungry(now, node)
+	waiting := p.waiting(now, node)
 	// Rounded up, since the tokens of many waiting nodes would otherwise exceed the capacity before each gets a second.
-	most := max(1, math.Ceil(p.bucket.Level()/float64(hungry)))
+	most := max(1, math.Ceil(p.bucket.Level()/float64(waiting)))
 	granted := p.bucket.Take(int(min(float64(n), most)))
 	l := p.lender(node)
 
 	if granted >= n {
 		if n > 0 {
-			l.hungryUntil = now
+			l.waitsUntil = now
 		}
 
 		return granted, 0
 	}
 
-	l.hungryUntil = now + hungryTime
+	l.waitsUntil = now + waitTime
 
 	if p.share == 0 || limit.Rate <= 0 {
 		return granted, noShareRetry
 	}
 
-	missing := max(0, 1-p.bucket.Level()) + float64(p.hungry(now, node)-1)
+	missing := max(0, 1-p.bucket.Level()) + float64(p.waiting(now, node)-1)
 	after := spar.Millis(missing / (limit.Rate * p.share) * second)
 
 	return granted, min(maxRetry, max(minRetry, after))
 }
 
-// hungry returns the number of nodes that wait for credits, with the given one.
-func (p *pool) hungry(now spar.Millis, node string) int {
+// waiting returns the number of nodes that wait for credits, with the given one.
+func (p *pool) waiting(now spar.Millis, node string) int {
 	n := 1
 
 	for name, l := range p.lenders {
-		if name != node && now < l.hungryUntil {
+		if name != node && now < l.waitsUntil {
 			n++
 		}
 	}
