--- a/httpd/conn.go
+++ b/httpd/conn.go
@@ -58,7 +58,7 @@
 	flushing bool
 	batch    []*exchange
 	vec      [][]byte
-	// paused is true while the reader waits for requests to be answered, and woken if it was woken.
+	// paused is true while the reader waits for requests to be answered, and woken once something has ended that pause.
 	paused, woken bool
 	// bodyOpen is true while the handler of the current request may read its body, and bodyStopped while these reads
 	// must fail, since the handler has returned.
