--- a/owner/cluster_test.go
+++ b/owner/cluster_test.go
@@ -167,6 +167,8 @@
 
 func (m *machine) startProcess() {
 	m.processStarts++
+	// A process reports its own start, also while it ends beside its successor.
+	start := m.processStarts
 	m.vm = m.c.net.VM(m.host, fault.Drift{})
 	ctx, stop := context.WithCancel(m.c.ctx)
 	p := &process{ctx: ctx, stop: stop, table: &eraTable{
@@ -197,7 +199,7 @@
 			u := g.Upstream()
 
 			return mesh.State{
-				Node: m.host, StartedMs: int64(m.processStarts), Seq: int64(clock.Now()), Service: service, PeerAddr: m.host + ":1",
+				Node: m.host, StartedMs: int64(start), Seq: int64(clock.Now()), Service: service, PeerAddr: m.host + ":1",
 				ServerIncarnation: u.Incarnation, Ready: u.Ready, MapRevision: maps.Revision(service),
 				Load: g.Load(), Utilization: p.owner.Utilization(), Era: p.table.eras.Newest(),
 			}
@@ -210,7 +212,7 @@
 	}
 
 	p.owner = owner.New(owner.Settings{
-		Node: m.host, InstanceID: fmt.Sprintf("%s.%d", m.host, m.processStarts), Service: service, PeerAddr: m.host + ":1",
+		Node: m.host, InstanceID: fmt.Sprintf("%s.%d", m.host, start), Service: service, PeerAddr: m.host + ":1",
 		AppAddr: m.appAddr(), LeaseDuration: 12_000, RenewInterval: 2500, GrantTTL: 6000, StoreTimeout: 700,
 		MaxGrantTTL: 10_000, MaxCommandDelay: 12_000,
 	}, owner.Deps{
