Deliver no success without the request's id and a seal

Cause: conns accepts a response that names no request as the first one on a connection, since refusals name none. gate took it for completed whatever its status was, and nothing looked at the seal.

Ruled out: the hop between nodes loses the seal (TestRequestsOfEveryKind compares it, and the clients' bodies contained it); extra bytes of an earlier response (the body names the request itself).

Change: gate checks each response that may be that to the request: one that is no refusal must name the request, and a success must have a seal. Otherwise the outcome is unknown and the connection is closed. Two counters and the detail in the log say what was missing.

--- a/conns/pool.go
+++ b/conns/pool.go
@@ -66,6 +66,9 @@
 	Body   []byte
 	// Match returns how a response with this header relates to the request; nil accepts any response.
 	Match func(http.Header) Match
+	// Check returns an error if a response that may be that to the request is not valid; nil accepts any response. The
+	// request fails with that error.
+	Check func(*http.Response) error
 	// OwnConn sends the request over a new connection, which carries no other request.
 	OwnConn bool
 }
@@ -184,8 +187,8 @@
 		first := !c.answered
 		c.answered = true
 
-		if accepts(req, resp, first) {
-			return resp, nil
+		if accepted, err := accepts(req, resp, first); accepted || err != nil {
+			return resp, err
 		}
 
 		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxStaleBytes))
@@ -197,15 +200,25 @@
 	return nil, errStale
 }
 
-// accepts reports whether a response belongs to a request. first is true for the first one on a connection.
-func accepts(req Request, resp *http.Response, first bool) bool {
-	if req.Match == nil {
-		return true
+// accepts reports whether a response is that to a request. first is true for the first one on a connection. The error
+// means that the response may be that to the request, but is not valid.
+func accepts(req Request, resp *http.Response, first bool) (bool, error) {
+	match := MatchOwn
+	if req.Match != nil {
+		match = req.Match(resp.Header)
+	}
+
+	if match == MatchOther {
+		return false, nil
 	}
 
-	match := req.Match(resp.Header)
+	if req.Check != nil {
+		if err := req.Check(resp); err != nil {
+			return false, fmt.Errorf("invalid response with status %d: %w", resp.StatusCode, err)
+		}
+	}
 
-	return match == MatchOwn || match == MatchUnmarked && first
+	return match == MatchOwn || first, nil
 }
 
 // maxStatus is the highest valid status.
--- a/gate/run.go
+++ b/gate/run.go
@@ -24,6 +24,7 @@
 		Method: req.Method, URI: req.URI, Host: req.Host, Body: req.Body,
 		Header: g.header(req, incarnation, start),
 		Match:  g.matchesID(req.ID),
+		Check:  g.checkResponse,
 	})
 	if failure != nil {
 		// cancel is deferred, because handleSendFailure checks whether ctx had already ended.
@@ -61,6 +62,40 @@
 	}
 }
 
+var (
+	errNoRequestID = errors.New("it names no request")
+	errNoSeal      = errors.New("it is a success without a seal")
+)
+
+// checkResponse returns an error for a response that the backend server can't have meant so, since fields of its header
+// are missing. A faulty server may send such bytes in place of a response, and the rest of its header as the body. Only
+// a refusal needs no request id, and only a success needs a seal.
+func (g *Gate) checkResponse(resp *http.Response) error {
+	switch {
+	case g.refusedByServer(resp):
+	case lacks(resp.Header, g.cfg.Names.RequestID):
+		g.deps.Tally.Count("spar_gate_response_without_id_total")
+
+		return errNoRequestID
+	case isSuccess(resp.StatusCode) && lacks(resp.Header, g.cfg.Names.Seal):
+		g.deps.Tally.Count("spar_gate_response_without_seal_total")
+
+		return errNoSeal
+	}
+
+	return nil
+}
+
+// lacks reports whether a deployment uses a header and h does not have it.
+func lacks(h http.Header, name string) bool {
+	return name != "" && h.Get(name) == ""
+}
+
+// isSuccess reports whether a status is 2xx.
+func isSuccess(status int) bool {
+	return status >= http.StatusOK && status < http.StatusMultipleChoices
+}
+
 // refusedByServer reports whether the backend server states that it has not run the request.
 func (g *Gate) refusedByServer(resp *http.Response) bool {
 	return resp.StatusCode == http.StatusMisdirectedRequest || resp.Header.Get(g.cfg.Names.NotRun) != ""
--- a/headers.go
+++ b/headers.go
@@ -19,6 +19,8 @@
 	ExpectedInstance string
 	// NotRun is set in a response by a backend server that did not run the request.
 	NotRun string
+	// Seal is set in every success of a backend server, with a value that is passed on unchanged.
+	Seal string
 	// Load holds a backend server's numbers of running requests, waiting requests and slots, and its slowdown
 	// in percent.
 	Load string
