Keep acknowledged departures in the memory of other nodes too

Cause: the lease row was the only memory of a departure beside the process, and the acknowledgment came after 0.6 s whether the row was written or not.

Ruled out: the new process accepts the heartbeat before it has read its row (it waits for it, and the heartbeat comes 1.5 s after the outage); other nodes go on by an old state (the new process reports the server as ready).

Evidence: three new cases of TestDepartedServerNotReusedAfterRestart failed before: a deregistration and a draining heartbeat during an outage, and, without any outage, a deregistration at a process that had not heard from the server yet, which was never written.

Change: states of nodes name the newest departure, and other nodes keep it. A departure is acknowledged once the lease row has it, or two other nodes have. Otherwise the call gets 503. A process that starts asks five nodes before it accepts heartbeats, and one that lacks a departure is notified of it.

--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"net"
 	"slices"
@@ -302,7 +303,7 @@
 	}
 }
 
-// exchange calls a peer with this node's state and stores the peer's state from the reply.
+// exchange exchanges states with a peer within callTimeout.
 func (m *Mesh) exchange(ctx context.Context, p Peer) {
 	m.mu.Lock()
 	trigger := m.triggers[p.Node]
@@ -312,16 +313,26 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout.Duration())
 	defer cancel()
 
-	var s State
-	if err := m.deps.Caller.Call(ctx, p.PeerAddr, methodState, m.deps.Self(), &s); err != nil {
+	if err := m.Exchange(ctx, p); err != nil {
 		m.deps.Log.Debug("exchange of states failed", "peer", p.Node, "cause", err)
+	}
+}
 
-		return
+// Exchange calls a peer with this node's state and stores the peer's state from the reply. Without an error, the peer
+// has received the state.
+func (m *Mesh) Exchange(ctx context.Context, p Peer) error {
+	var s State
+	if err := m.deps.Caller.Call(ctx, p.PeerAddr, methodState, m.deps.Self(), &s); err != nil {
+		return fmt.Errorf("exchange states with %s: %w", p.Node, err)
 	}
 
-	if s.Node == p.Node {
-		m.receive(s)
+	if s.Node != p.Node {
+		return fmt.Errorf("exchange states with %s: %s replied", p.Node, s.Node)
 	}
+
+	m.receive(s)
+
+	return nil
 }
 
 // remove deletes a peer once its goroutine has ended.
--- a/mesh/state.go
+++ b/mesh/state.go
@@ -26,8 +26,10 @@
 	// that server may get requests.
 	ServerIncarnation spar.Incarnation `json:"life"`
 	Ready             bool             `json:"ready,omitempty"`
-	ColdMS            spar.Millis      `json:"cold_ms,omitempty"`
-	Load              gate.Load        `json:"load"`
+	// Departed is the newest incarnation of the backend server that has deregistered or is draining.
+	Departed spar.Incarnation `json:"left,omitzero"`
+	ColdMS   spar.Millis      `json:"cold_ms,omitempty"`
+	Load     gate.Load        `json:"load"`
 	// RulesVersion is the version of the rules in force, and MapRevision the revision of the service's map of owners.
 	RulesVersion uint64        `json:"rules,omitempty"`
 	MapRevision  spar.Revision `json:"map_revision,omitempty"`
--- a/owner/beat.go
+++ b/owner/beat.go
@@ -17,7 +17,8 @@
 const rebindTimeout spar.Millis = 400
 
 // Heartbeat handles a heartbeat and returns the keys that the backend server may hold. A heartbeat that can't come
-// from this node's backend server is an error and changes nothing.
+// from this node's backend server is an error and changes nothing. Heartbeat returns ErrNotRecorded for that of a
+// draining server if its departure may be forgotten.
 func (o *Owner) Heartbeat(ctx context.Context, b Heartbeat) (Grant, error) {
 	switch {
 	case b.Addr != o.cfg.AppAddr:
@@ -28,8 +29,8 @@
 		return Grant{}, fmt.Errorf("heartbeat of %s names start %d, in the future", b.Incarnation.ID, b.Incarnation.StartedMs)
 	}
 
-	if !o.awaitEarlierLease(ctx) {
-		o.deps.Log.Info("ignoring heartbeat: the node's own lease row is not read yet", "id", b.Incarnation.ID)
+	if !o.awaitEarlierDepartures(ctx) {
+		o.deps.Log.Info("ignoring heartbeat: earlier departures are not known yet", "id", b.Incarnation.ID)
 
 		return Grant{}, nil
 	}
@@ -50,8 +51,10 @@
 
 	o.updateGate(b, received)
 
-	if b.Draining && changed {
-		o.recordDeparture(ctx)
+	if b.Draining {
+		if err := o.recordDeparture(ctx); err != nil {
+			return Grant{}, fmt.Errorf("heartbeat of %s: %w", b.Incarnation.ID, err)
+		}
 	}
 
 	if keyed, _ := o.deps.Keyed(o.cfg.Service); !keyed {
--- a/owner/cluster_test.go
+++ b/owner/cluster_test.go
@@ -169,6 +169,7 @@
 	m.processStarts++
 	// A process reports its own start, also while it ends beside its successor.
 	start := m.processStarts
+	instanceID := fmt.Sprintf("%s.%d", m.host, start)
 	m.vm = m.c.net.VM(m.host, fault.Drift{})
 	ctx, stop := context.WithCancel(m.c.ctx)
 	p := &process{ctx: ctx, stop: stop, table: &eraTable{
@@ -194,13 +195,16 @@
 			if s.Era > p.table.eras.Newest() {
 				_ = p.table.eras.Observe(s.Era)
 			}
+
+			p.owner.CheckDeparture(ctx, s)
 		},
 		Self: func() mesh.State {
 			u := g.Upstream()
 
 			return mesh.State{
-				Node: m.host, StartedMs: int64(start), Seq: int64(clock.Now()), Service: service, PeerAddr: m.host + ":1",
-				ServerIncarnation: u.Incarnation, Ready: u.Ready, MapRevision: maps.Revision(service),
+				Node: m.host, Incarnation: instanceID, StartedMs: int64(start), Seq: int64(clock.Now()), Service: service,
+				PeerAddr:          m.host + ":1",
+				ServerIncarnation: u.Incarnation, Ready: u.Ready, Departed: p.owner.Departed(), MapRevision: maps.Revision(service),
 				Load: g.Load(), Utilization: p.owner.Utilization(), Era: p.table.eras.Newest(),
 			}
 		},
@@ -212,7 +216,7 @@
 	}
 
 	p.owner = owner.New(owner.Settings{
-		Node: m.host, InstanceID: fmt.Sprintf("%s.%d", m.host, start), Service: service, PeerAddr: m.host + ":1",
+		Node: m.host, InstanceID: instanceID, Service: service, PeerAddr: m.host + ":1",
 		AppAddr: m.appAddr(), LeaseDuration: 12_000, RenewInterval: 2500, GrantTTL: 6000, StoreTimeout: 700,
 		MaxGrantTTL: 10_000, MaxCommandDelay: 12_000,
 	}, owner.Deps{
@@ -242,13 +246,17 @@
 // follow reads the table at intervals, in place of the feed of a real node.
 func (m *machine) follow(ctx context.Context, p *process, msh *mesh.Mesh) {
 	for ctx.Err() == nil {
-		rows, _, _ := p.table.Scan(ctx, owner.NodeTable+"/", 0)
+		rows, _, err := p.table.Scan(ctx, owner.NodeTable+"/", 0)
 		for _, r := range rows {
 			if n, err := owner.DecodeNode(r); err == nil {
 				msh.AddPeer(n.Node, n.PeerAddr, n.Zone, n.Service)
 			}
 		}
 
+		if err == nil {
+			p.owner.NodesRead()
+		}
+
 		for _, peer := range msh.Peers() {
 			if peer.MapRevision > p.maps.Revision(peer.Service) {
 				p.owner.Pull(ctx, peer.PeerAddr, peer.Service)
--- a/owner/departure_test.go
+++ b/owner/departure_test.go
@@ -8,10 +8,16 @@
 	qt "github.com/frankban/quicktest"
 
 	spar "sardinespar.example/spar"
+	"sardinespar.example/spar/fault"
 	"sardinespar.example/spar/internal/flaw"
 	"sardinespar.example/spar/owner"
 )
 
+// heartbeat returns a heartbeat of the machine's backend server that is later than those which it has sent.
+func (m *machine) heartbeat() owner.Heartbeat {
+	return owner.Heartbeat{Incarnation: m.srv.incarnation, Service: service, Addr: m.appAddr(), Slots: 9, Seq: 900}
+}
+
 // reuseAfterDeparture lets a backend server depart and its node's process restart, and then delivers a late heartbeat
 // from before the departure. It reports whether the new process uses the backend server.
 func reuseAfterDeparture(t *testing.T, flaws flaw.Set, depart func(m *machine, b owner.Heartbeat)) bool {
@@ -24,7 +30,7 @@
 	m.srv.stop()
 	synctest.Wait()
 
-	last := owner.Heartbeat{Incarnation: m.srv.incarnation, Service: service, Addr: m.appAddr(), Slots: 9, Seq: 900}
+	last := m.heartbeat()
 	depart(m, last)
 
 	late := last
@@ -53,6 +59,21 @@
 	return used
 }
 
+// duringOutage returns a function that lets a backend server depart and its node's process restart while the table is
+// unavailable.
+func duringOutage(depart func(m *machine, b owner.Heartbeat)) func(m *machine, b owner.Heartbeat) {
+	return func(m *machine, b owner.Heartbeat) {
+		m.c.store.Set(fault.StoreFaults{Outage: true})
+		depart(m, b)
+		time.Sleep(500 * time.Millisecond)
+		m.killProcess()
+		m.startProcess()
+		time.Sleep(2 * time.Second)
+		m.c.store.Set(fault.StoreFaults{})
+		time.Sleep(2 * time.Second)
+	}
+}
+
 // Guards against a backend server that is used again after its departure: the process that acknowledged the departure
 // ends, and the next one receives a heartbeat that was sent before.
 func TestDepartedServerNotReusedAfterRestart(t *testing.T) {
@@ -75,6 +96,22 @@
 			time.Sleep(time.Second)
 			m.process().owner.Deregister(m.c.ctx, b.Incarnation.ID, nil)
 		},
+		"deregisters before its first heartbeat to a process that ends too": func(m *machine, b owner.Heartbeat) {
+			m.killProcess()
+			m.startProcess()
+			time.Sleep(time.Second)
+			m.process().owner.Deregister(m.c.ctx, b.Incarnation.ID, &b.Incarnation.StartedMs)
+			m.killProcess()
+			m.startProcess()
+			time.Sleep(time.Second)
+		},
+		"draining while the table is unavailable": duringOutage(func(m *machine, b owner.Heartbeat) {
+			b.Draining = true
+			_, _ = m.process().owner.Heartbeat(m.c.ctx, b)
+		}),
+		"leaves while the table is unavailable": duringOutage(func(m *machine, b owner.Heartbeat) {
+			m.process().owner.Deregister(m.c.ctx, b.Incarnation.ID, &b.Incarnation.StartedMs)
+		}),
 	}
 
 	for name, depart := range departures {
@@ -107,7 +144,7 @@
 		m.srv.stop()
 		synctest.Wait()
 
-		b := owner.Heartbeat{Incarnation: m.srv.incarnation, Service: service, Addr: m.appAddr(), Slots: 9}
+		b := m.heartbeat()
 		start := b.Incarnation.StartedMs
 		beat := func(startedMs int64) bool {
 			b.Incarnation.StartedMs = startedMs
@@ -123,8 +160,6 @@
 			m.process().owner.Deregister(c.ctx, b.Incarnation.ID, &startedMs)
 		}
 
-		b.Seq = 900
-
 		// The deregistration of the first incarnation arrives after a heartbeat of the second.
 		qt.Check(t, beat(start+10), qt.IsTrue)
 		deregister(start)
@@ -161,3 +196,109 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against the acknowledgment of a departure that nothing but the process itself would remember.
+func TestDepartureNotAcknowledgedUnlessRecorded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, stop := newCluster(2, 2, flaw.Set{}, byHeartbeat)
+		m := c.machines[0]
+
+		time.Sleep(5 * time.Second)
+		m.srv.stop()
+		synctest.Wait()
+
+		b := m.heartbeat()
+		b.Draining = true
+
+		c.store.Set(fault.StoreFaults{Outage: true})
+		c.machines[1].killProcess()
+		time.Sleep(5 * time.Second)
+
+		_, err := m.process().owner.Heartbeat(c.ctx, b)
+		qt.Check(t, err, qt.ErrorIs, owner.ErrNotRecorded)
+		qt.Check(t, m.process().gate.Upstream().Ready, qt.IsFalse)
+
+		start := b.Incarnation.StartedMs
+		err = m.process().owner.Deregister(c.ctx, b.Incarnation.ID, &start)
+		qt.Check(t, err, qt.ErrorIs, owner.ErrNotRecorded)
+
+		// Another node is enough, and so is the table.
+		c.machines[1].startProcess()
+		c.store.Set(fault.StoreFaults{})
+		time.Sleep(5 * time.Second)
+		c.store.Set(fault.StoreFaults{Outage: true})
+		qt.Check(t, m.process().owner.Deregister(c.ctx, b.Incarnation.ID, &start), qt.IsNil)
+
+		c.close(stop)
+		synctest.Wait()
+	})
+}
+
+// Guards against a departure that is never learned if no other node can be asked when the process starts.
+func TestDepartureLearnedLater(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, stop := newCluster(2, 2, flaw.Set{}, byHeartbeat)
+		m, other := c.machines[0], c.machines[1]
+
+		time.Sleep(5 * time.Second)
+		m.srv.stop()
+		synctest.Wait()
+
+		b := m.heartbeat()
+		start := b.Incarnation.StartedMs
+
+		c.store.Set(fault.StoreFaults{Outage: true})
+		qt.Check(t, m.process().owner.Deregister(c.ctx, b.Incarnation.ID, &start), qt.IsNil)
+		m.killProcess()
+		m.startProcess()
+		c.net.Partition(m.host, other.host)
+		c.store.Set(fault.StoreFaults{})
+		time.Sleep(5 * time.Second)
+
+		_, err := m.process().owner.Heartbeat(c.ctx, b)
+		qt.Check(t, err, qt.IsNil)
+		qt.Check(t, m.process().gate.Upstream().Ready, qt.IsTrue)
+
+		c.net.HealPartition(m.host, other.host)
+		time.Sleep(5 * time.Second)
+		qt.Check(t, m.process().gate.Upstream().Ready, qt.IsFalse)
+
+		c.close(stop)
+		synctest.Wait()
+	})
+}
+
+// Guards against a backend server that ends draining and is shut out, because other nodes know that it drained.
+func TestServerThatEndsDrainingIsUsed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, stop := newCluster(2, 2, flaw.Set{}, byHeartbeat)
+		m := c.machines[0]
+
+		time.Sleep(5 * time.Second)
+		m.srv.stop()
+		synctest.Wait()
+
+		b := m.heartbeat()
+		for _, draining := range []bool{true, false, true, false} {
+			b.Seq++
+			b.Draining = draining
+			_, err := m.process().owner.Heartbeat(c.ctx, b)
+			qt.Check(t, err, qt.IsNil)
+			time.Sleep(3 * time.Second)
+			qt.Check(t, m.process().gate.Upstream().Ready, qt.Equals, !draining)
+		}
+
+		m.killProcess()
+		m.startProcess()
+		time.Sleep(3 * time.Second)
+
+		b.Seq++
+		_, err := m.process().owner.Heartbeat(c.ctx, b)
+		qt.Check(t, err, qt.IsNil)
+		time.Sleep(3 * time.Second)
+		qt.Check(t, m.process().gate.Upstream().Ready, qt.IsTrue)
+
+		c.close(stop)
+		synctest.Wait()
+	})
+}
--- a/owner/lease.go
+++ b/owner/lease.go
@@ -39,7 +39,7 @@
 		switch keyed, known := o.deps.Keyed(o.cfg.Service); {
 		case !held:
 			ok = o.acquireLease(ctx)
-		case keyed || !known || o.departureUnrecorded() || o.leaseOutdated():
+		case keyed || !known || o.departureUnwritten() || o.leaseOutdated():
 			ok = o.renewLease(ctx)
 		}
 
--- a/owner/moves.go
+++ b/owner/moves.go
@@ -46,7 +46,7 @@
 
 	now := o.deps.Clock.Now()
 	expired := now > max(o.holdsUntil, o.lastHeartbeat+o.cfg.GrantTTL)+expiryMargin
-	departed := !o.departed.IsZero() && o.departed == o.incarnation
+	departed := o.hasDepartedLocked()
 
 	// Without a lease this node can't move keys.
 	if o.lease.revision == 0 || !expired && !departed && !withdrawn {
@@ -241,7 +241,7 @@
 // transaction can't apply later; if that fails, the moves stay.
 func (o *Owner) cancelMoves(ctx context.Context, free []move) {
 	o.mu.Lock()
-	canKeepKeys := !o.draining && o.departed != o.incarnation && o.deps.Clock.Now() < o.lastHeartbeat+o.cfg.GrantTTL
+	canKeepKeys := !o.draining && !o.hasDepartedLocked() && o.deps.Clock.Now() < o.lastHeartbeat+o.cfg.GrantTTL
 	o.mu.Unlock()
 
 	if !canKeepKeys || o.deps.ZoneWithdrawn(o.cfg.Zone) {
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -106,12 +106,21 @@
 	departed    spar.Incarnation
 	seq         int64
 	draining    bool
-	// recordedDeparted is the departed backend server that the lease row names.
-	recordedDeparted spar.Incarnation
-	unknownDeparted  unknownDeparture
+	// recordedDeparted is the departed backend server that the lease row names, and replicatedDeparted the one that
+	// enough other nodes know.
+	recordedDeparted   spar.Incarnation
+	replicatedDeparted spar.Incarnation
+	unknownDeparted    unknownDeparture
 	// earlierRead is closed once the lease row of an earlier process has been read; earlierKnown is set with it.
-	earlierRead   chan struct{}
-	earlierKnown  bool
+	earlierRead  chan struct{}
+	earlierKnown bool
+	// nodesRead is closed once the table of nodes has been read; nodesKnown is set with it.
+	nodesRead  chan struct{}
+	nodesKnown bool
+	// departuresKnown is closed once the departures before the start of this process are known.
+	departuresKnown chan struct{}
+	// departures are those of the other nodes' backend servers.
+	departures    *departureLog
 	lastHeartbeat spar.Millis
 	// holdsUntil is the latest end of all grants in heartbeat responses.
 	holdsUntil spar.Millis
@@ -170,6 +179,7 @@
 	o := &Owner{
 		cfg: cfg, deps: deps, suspects: map[string]suspect{}, tracker: newGrantTracker(cfg, deps),
 		changeLock: make(chan struct{}, 1), pushWake: make(chan struct{}, 1), earlierRead: make(chan struct{}),
+		nodesRead: make(chan struct{}), departuresKnown: make(chan struct{}), departures: newDepartureLog(),
 		// An earlier process of this node may have granted keys until the moment it ended.
 		lastHeartbeat: now, holdsUntil: now + cfg.GrantTTL*(1+clockError),
 	}
@@ -196,6 +206,7 @@
 		return offerReply{Accepted: o.acceptOffer(p)}, nil
 	})
 	o.registerRenew(mux)
+	o.registerDepartures(mux)
 	peers.Handle(mux, methodExpect, func(context.Context, struct{}) (struct{}, error) {
 		o.expectKeys()
 
@@ -268,6 +279,7 @@
 
 	wg.Go(func() { o.batcher.loop(ctx) })
 	wg.Go(func() { o.loopLease(ctx) })
+	wg.Go(func() { o.runLearn(ctx) })
 	wg.Go(func() { o.loopMoves(ctx) })
 	wg.Go(func() { o.loopPlan(ctx) })
 
--- a/owner/push.go
+++ b/owner/push.go
@@ -90,7 +90,7 @@
 	defer o.mu.Unlock()
 
 	now := o.deps.Clock.Now()
-	if o.incarnation.IsZero() || o.departed == o.incarnation || o.lease.revision == 0 ||
+	if o.incarnation.IsZero() || o.hasDepartedLocked() || o.lease.revision == 0 ||
 		now-o.lastHeartbeat > maxHeartbeatAge {
 		return nil
 	}
--- a/owner/release.go
+++ b/owner/release.go
@@ -22,7 +22,7 @@
 	now := o.deps.Clock.Now()
 	o.tracker.Expire(now)
 
-	urgent := o.draining || o.departed == o.incarnation || withdrawn || now-o.lastHeartbeat > o.cfg.GrantTTL
+	urgent := o.draining || o.hasDepartedLocked() || withdrawn || now-o.lastHeartbeat > o.cfg.GrantTTL
 	if !urgent {
 		o.dropStaleMovesLocked(now)
 	}
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -39,6 +39,7 @@
 	}
 
 	r.roster.Complete()
+	r.owner.NodesRead()
 }
 
 // membership returns this node's place by name among the nodes that are alive.
@@ -67,6 +68,7 @@
 	r.checkEra(s)
 	r.checkOperator(s)
 	r.crashes.check(s)
+	r.owner.CheckDeparture(r.work, s)
 
 	if s.MapRevision > r.maps.Revision(s.Service) && r.pullingMap.CompareAndSwap(false, true) {
 		go r.runPullMap(s)
