Discard a response only when a further attempt begins

Cause: the decision to repeat a request took a retry and closed the body of the response before a node was chosen. If none was left, or the time to wait for the owner of the key was over, the closed body was delivered: reading it failed, and the connection was aborted.

Ruled out: the deadline ends while the body is read (seconds are left); the node beside the server cuts the response (successes of that length arrive whole).

Change: whether a further attempt may follow is decided first, then the node is chosen, then the retry and the credit of the quota are taken, and only then is the earlier response discarded.

--- a/entry/quota.go
+++ b/entry/quota.go
@@ -23,6 +23,8 @@
 	tenant string
 	// sent is the number of attempts that reached a backend server.
 	sent int
+	// retrying is true while an attempt is made for which a retry was taken from the budget.
+	retrying bool
 	// credit is the credit for the next attempt that reaches a backend server, unless it is spent.
 	credit quota.Credit
 	spent  bool
@@ -66,7 +68,7 @@
 
 // record records the result of an attempt.
 func (d *delivery) record(r gate.Result) {
-	if r.ReachedServer || r.Outcome != spar.OutcomeNotRun {
+	if needsRetry(r) {
 		d.sent++
 		d.spent = true
 	}
--- a/entry/retry_budget.go
+++ b/entry/retry_budget.go
@@ -47,6 +47,22 @@
 	return true
 }
 
+// Available reports whether Spend would take a retry now.
+func (b *RetryBudget) Available(service string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	return b.balance(service) >= 1
+}
+
+// Return returns a retry that Spend took and that was not made.
+func (b *RetryBudget) Return(service string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	b.tokens[service] = min(maxRetries, b.balance(service)+1)
+}
+
 func (b *RetryBudget) balance(service string) float64 {
 	n, ok := b.tokens[service]
 	if !ok {
--- a/entry/route.go
+++ b/entry/route.go
@@ -7,7 +7,6 @@
 
 	spar "sardinespar.example/spar"
 	"sardinespar.example/spar/gate"
-	"sardinespar.example/spar/mesh"
 	"sardinespar.example/spar/rules"
 )
 
@@ -46,31 +45,30 @@
 	}
 
 	var (
-		tried   = map[string]bool{}
-		last    = gate.Refused(spar.ReasonUnreachable, minRetryAfter)
-		unknown bool
+		tried      = map[string]bool{}
+		last       = gate.Refused(spar.ReasonUnreachable, minRetryAfter)
+		mayHaveRun bool
 	)
 
-	for range maxAttempts {
+	for len(tried) < maxAttempts {
 		c, ok := e.choose(req, tried)
-		if !ok {
+		if !ok || !e.takeRetry(ctx, req, last, d) {
 			break
 		}
 
-		tried[c.Node] = true
+		mayHaveRun = mayHaveRun || last.Outcome == spar.OutcomeUnknown
+		last.Discard()
 
-		r := e.attempt(ctx, c, req, d)
-		r.Attempts = len(tried)
+		tried[c.Node] = true
+		last = e.attempt(ctx, c, req, d)
+		last.Attempts = len(tried)
 
-		if !e.shouldRetry(ctx, req, rule, r, d) {
-			return finalResult(r, unknown)
+		if !e.mayRetry(ctx, req, rule, last, d) {
+			break
 		}
-
-		unknown = unknown || r.Outcome == spar.OutcomeUnknown
-		last = r
 	}
 
-	return finalResult(last, unknown)
+	return finalResult(last, mayHaveRun)
 }
 
 // choose returns the node for the next attempt of a request without a key.
@@ -83,58 +81,23 @@
 	return e.tracker.Best(candidates, req.Kind, tried, now)
 }
 
-// finalResult returns the result of all attempts. Once the outcome of an attempt is unknown, a later refusal
-// doesn't prove that the request has not run.
-func finalResult(r gate.Result, unknown bool) gate.Result {
-	if unknown && r.Outcome == spar.OutcomeNotRun {
+// finalResult returns the result of all attempts. If an earlier attempt may have run, a later refusal doesn't prove that
+// the request has not run.
+func finalResult(r gate.Result, mayHaveRun bool) gate.Result {
+	if mayHaveRun && r.Outcome == spar.OutcomeNotRun {
 		r.Outcome = spar.OutcomeUnknown
 	}
 
 	return r
 }
 
-// shouldRetry reports whether a request may be sent again after a result, and spends a retry where one is
-// needed.
-func (e *Entry) shouldRetry(
-	ctx context.Context, req gate.Request, rule rules.Rule, r gate.Result, d *delivery,
-) bool {
-	if ctx.Err() != nil || r.Reason == spar.ReasonQuarantined {
-		return false
-	}
-
-	switch r.Outcome {
-	case spar.OutcomeNotRun:
-		return !r.ReachedServer || e.spendRetry(ctx, req, rule, d)
-	case spar.OutcomeUnknown:
-		return req.Kind.Repeatable() && e.spendRetry(ctx, req, rule, d)
-	case spar.OutcomeCompleted:
-		if r.Status < http.StatusInternalServerError || !req.Kind.Repeatable() || !e.spendRetry(ctx, req, rule, d) {
-			return false
-		}
-
-		_ = r.Body.Close()
-
-		return true
-	}
-
-	return false
-}
-
-// spendRetry takes a retry from the budget, if the rule, the deadline and the tenant's quota allow one.
-func (e *Entry) spendRetry(ctx context.Context, req gate.Request, rule rules.Rule, d *delivery) bool {
-	remaining := req.Deadline - e.deps.Clock.Now()
-
-	return d.sent < max(1, rule.Attempts) && remaining > minRetryAfter && e.retries.Spend(req.Service) &&
-		d.renew(ctx, req.Objective)
-}
-
 // attempt sends a request to one node and records the result.
 func (e *Entry) attempt(ctx context.Context, c Candidate, req gate.Request, d *delivery) gate.Result {
 	e.tracker.Begin(c.Node)
 	start := e.deps.Clock.Now()
 	r := e.send(ctx, c, req)
 	r.Node = c.Node
-	d.record(r)
+	e.recordAttempt(req, r, d)
 	e.deps.Tally.Observe("spar_entry_attempt_ms", e.deps.Clock.Now()-start)
 	failed := r.ReachedServer || r.Outcome == spar.OutcomeCompleted && r.Status >= http.StatusInternalServerError
 	e.tracker.End(c.Node, failed && ctx.Err() == nil)
@@ -146,110 +109,41 @@
 	return r
 }
 
-// candidates returns the nodes whose backend servers can serve a service.
-func (e *Entry) candidates(service string) []Candidate {
-	now := e.deps.Clock.Now()
-	timeout := e.deps.Mesh.LivenessTimeout()
-
-	var list []Candidate
-
-	if u := e.deps.Gate.Upstream(); u.Service == service && e.localObstacle(u) == "" {
-		list = append(list, e.localCandidate(u, now))
-	}
-
-	for _, p := range e.deps.Mesh.Peers() {
-		if p.Service == service && e.peerObstacle(p, now, timeout) == "" {
-			list = append(list, e.peerCandidate(p, now))
-		}
-	}
-
-	return list
-}
-
-// The reasons why a node of a service is no candidate.
-const (
-	obstacleNotReady  = "not ready"
-	obstacleDown      = "refuses connections"
-	obstacleSilent    = "not heard from"
-	obstacleWithdrawn = "zone withdrawn"
-)
-
-// localObstacle returns why this node's backend server is no candidate, or an empty text.
-func (e *Entry) localObstacle(u gate.Upstream) string {
-	switch {
-	case !u.Ready:
-		return obstacleNotReady
-	case u.Down:
-		return obstacleDown
-	case e.deps.ZoneWithdrawn(e.cfg.Zone):
-		return obstacleWithdrawn
-	}
-
-	return ""
-}
-
-// peerObstacle returns why a peer's backend server is no candidate, or an empty text.
-func (e *Entry) peerObstacle(p mesh.Peer, now, timeout spar.Millis) string {
-	switch {
-	case !p.Ready:
-		return obstacleNotReady
-	case !p.Alive(now, timeout):
-		return obstacleSilent
-	case e.deps.ZoneWithdrawn(p.Zone):
-		return obstacleWithdrawn
-	}
-
-	return ""
-}
-
-// localCandidate returns this node as a candidate.
-func (e *Entry) localCandidate(u gate.Upstream, now spar.Millis) Candidate {
-	return Candidate{
-		Node: e.cfg.Node, InstanceID: u.Incarnation.ID, Local: true, SameZone: true, Cold: u.Cold(now),
-		Load: e.deps.Gate.Load(), LoadAt: now,
-	}
-}
-
-// peerCandidate returns a peer as a candidate.
-func (e *Entry) peerCandidate(p mesh.Peer, now spar.Millis) Candidate {
-	return Candidate{
-		Node: p.Node, Addr: p.InboundAddr, InstanceID: p.ServerIncarnation.ID, SameZone: p.Zone == e.cfg.Zone,
-		Cold: p.ColdMS > now-p.LastHeard, Load: p.Load, LoadAt: p.LoadAt,
-	}
-}
-
 // routeKeyed sends a request to the owner of its key. While no owner accepts it, the request waits for a part
 // of the time to its objective, since moving a key to another server takes about that long.
 func (e *Entry) routeKeyed(ctx context.Context, req gate.Request, rule rules.Rule, d *delivery) gate.Result {
 	var (
-		start    = e.deps.Clock.Now()
-		until    = start + ownerWait(req, start)
-		attempts int
-		unknown  bool
-		last     = gate.Refused(spar.ReasonNoOwner, minRetryAfter)
+		start      = e.deps.Clock.Now()
+		until      = start + ownerWait(req, start)
+		attempts   int
+		mayHaveRun bool
+		last       = gate.Refused(spar.ReasonNoOwner, minRetryAfter)
 	)
 
 	for {
 		changed := e.deps.Maps.Changed()
-
 		c, missing := e.ownerOf(req)
-		if missing == "" {
+
+		switch {
+		case missing != "":
+			last.Detail = missing
+		case !e.takeRetry(ctx, req, last, d):
+			return finalResult(last, mayHaveRun)
+		default:
+			mayHaveRun = mayHaveRun || last.Outcome == spar.OutcomeUnknown
+			last.Discard()
+
 			attempts++
-			r := e.attempt(ctx, c, req, d)
-			r.Attempts = attempts
+			last = e.attempt(ctx, c, req, d)
+			last.Attempts = attempts
 
-			if !e.shouldRetry(ctx, req, rule, r, d) || r.Reason == spar.ReasonShed && !r.ReachedServer {
-				return finalResult(r, unknown)
+			if !e.mayRetry(ctx, req, rule, last, d) || last.Reason == spar.ReasonShed && !last.ReachedServer {
+				return finalResult(last, mayHaveRun)
 			}
-
-			unknown = unknown || r.Outcome == spar.OutcomeUnknown
-			last = r
-		} else {
-			last.Detail = missing
 		}
 
 		if e.deps.Clock.Now() >= until || !e.awaitMapChange(ctx, changed) {
-			return finalResult(withJitter(last), unknown)
+			return finalResult(withJitter(last), mayHaveRun)
 		}
 	}
 }
--- a/gate/request.go
+++ b/gate/request.go
@@ -58,6 +58,13 @@
 	Detail string
 }
 
+// Discard closes the response of a result that is not passed on.
+func (r Result) Discard() {
+	if r.Body != nil {
+		_ = r.Body.Close()
+	}
+}
+
 // Refused returns the result of a request that has not run.
 func Refused(reason spar.Reason, after spar.Millis) Result {
 	return Result{Outcome: spar.OutcomeNotRun, Reason: reason, RetryAfter: after}
