--- a/entry/retry.go
+++ b/entry/retry.go
@@ -36,8 +36,8 @@
 	return r.Outcome != spar.OutcomeNotRun || r.ReachedServer
 }
 
-// takeRetry takes a retry from the budget, and a credit of the tenant's quota, if a further attempt after a result needs
-// them. It takes both or none.
+// takeRetry takes a retry from the budget, and a credit of the tenant's quota, if a further attempt after a result
+// needs them. It takes both or none.
 func (e *Entry) takeRetry(ctx context.Context, req gate.Request, r gate.Result, d *delivery) bool {
 	if !needsRetry(r) {
 		return true
--- a/entry/route.go
+++ b/entry/route.go
@@ -81,8 +81,8 @@
 	return e.tracker.Best(candidates, req.Kind, tried, now)
 }
 
-// finalResult returns the result of all attempts. If an earlier attempt may have run, a later refusal doesn't prove that
-// the request has not run.
+// finalResult returns the result of all attempts. If an earlier attempt may have run, a later refusal doesn't prove
+// that the request has not run.
 func finalResult(r gate.Result, mayHaveRun bool) gate.Result {
 	if mayHaveRun && r.Outcome == spar.OutcomeNotRun {
 		r.Outcome = spar.OutcomeUnknown
