Replace a response that does not arrive, as long as nothing of it was sent

Their runs had ended well; they waited behind another response on their connection, which was closed.

Cause: the head of a response was sent before its body had arrived. If the deadline ended or the other node broke off then, only a cut was left, which ends the connection and all responses behind it.

Change: responses of up to 16 KiB are read whole, and longer ones to 32 KiB once their turn has come, before anything is sent; if the rest is missing, the caller gets 504 or 502 in its place. What is still cut is logged and counted.

--- a/conns/pool.go
+++ b/conns/pool.go
@@ -69,6 +69,9 @@
 	// Check returns an error if a response that may be that to the request is not valid; nil accepts any response. The
 	// request fails with that error.
 	Check func(*http.Response) error
+	// BodyGrace is how long after the deadline of the request the body of a response may still be read whose header has
+	// arrived before.
+	BodyGrace spar.Millis
 	// OwnConn sends the request over a new connection, which carries no other request.
 	OwnConn bool
 }
@@ -171,11 +174,25 @@
 		return fail(true, err)
 	}
 
+	if req.BodyGrace > 0 && stop() {
+		stop = context.AfterFunc(ctx, func() { p.closeLate(ctx, c, req.BodyGrace) })
+	}
+
 	resp.Body = &body{ReadCloser: resp.Body, pool: p, conn: c, resp: resp, up: up, stop: stop, ownConn: req.OwnConn}
 
 	return resp, nil
 }
 
+// closeLate closes a connection whose request has ended: after a time if its deadline has passed, and at once if it was
+// canceled.
+func (p *Pool) closeLate(ctx context.Context, c *conn, after spar.Millis) {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		p.clock.Sleep(context.WithoutCancel(ctx), after)
+	}
+
+	_ = c.Close()
+}
+
 // readMatching reads the response to a request and skips those to earlier requests.
 func readMatching(c *conn, req Request) (*http.Response, error) {
 	for range maxStaleResponses {
--- a/entry/answer.go
+++ b/entry/answer.go
@@ -1,37 +1,120 @@
 package entry
 
 import (
+	"context"
+	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
 	"sync"
 
+	spar "sardinespar.example/spar"
 	"sardinespar.example/spar/gate"
+	"sardinespar.example/spar/httpd"
 )
 
-const copyBufferBytes = 16 << 10
+// pieceBytes is the size of the pieces in which response bodies are copied.
+const pieceBytes = 16 << 10
 
-// copyBufferPool holds the buffers with which response bodies are copied.
-type copyBufferPool struct {
+// piecePool holds the buffers with which response bodies are copied.
+type piecePool struct {
 	pool sync.Pool
 }
 
-func newCopyBufferPool() *copyBufferPool {
-	return &copyBufferPool{pool: sync.Pool{New: func() any {
-		b := make([]byte, copyBufferBytes)
+func newPiecePool() *piecePool {
+	return &piecePool{pool: sync.Pool{New: func() any { return &piece{buf: make([]byte, pieceBytes)} }}}
+}
+
+// piece is a part of a body.
+type piece struct {
+	buf []byte
+	n   int
+	// last is true if the body ends with the piece.
+	last bool
+}
+
+// read reads the next piece of a body. It returns an error if the body is truncated.
+func (p *piece) read(body io.Reader) error {
+	p.n, p.last = 0, false
+
+	for p.n < len(p.buf) {
+		n, err := body.Read(p.buf[p.n:])
+		p.n += n
 
-		return &b
-	}}}
+		if errors.Is(err, io.EOF) {
+			p.last = true
+
+			return nil
+		}
+
+		if err != nil {
+			return err
+		}
+	}
+
+	return nil
 }
 
-// copyResponse passes a backend server's response on. If the body ends early, it aborts the connection, so
-// that a truncated response never looks complete.
-func (c *copyBufferPool) copyResponse(w http.ResponseWriter, r gate.Result) {
-	defer func() { _ = r.Body.Close() }()
+// opening is a response whose first part has been read, so that it can still be replaced if the rest is missing. A
+// short response is complete then.
+type opening struct {
+	pool          *piecePool
+	result        gate.Result
+	first, second *piece
+}
+
+// open reads the first part of a response. For a long response it waits until all earlier responses of the connection
+// have been sent, and then reads on, since the backend server's connection may have ended meanwhile. After an error the
+// response is discarded; it is errClosing if the connection ends before the response's turn.
+func (p *piecePool) open(ctx context.Context, r gate.Result) (*opening, error) {
+	o := &opening{pool: p, result: r}
+
+	if err := o.read(ctx); err != nil {
+		o.close()
+
+		return nil, err
+	}
+
+	return o, nil
+}
+
+var errClosing = errors.New("connection closes before the response")
+
+func (o *opening) read(ctx context.Context) error {
+	o.first, _ = o.pool.pool.Get().(*piece)
+	if err := o.first.read(o.result.Body); err != nil || o.first.last {
+		return err
+	}
+
+	if err := httpd.Serialize(ctx); err != nil {
+		return fmt.Errorf("%w: %w", errClosing, err)
+	}
+
+	o.second, _ = o.pool.pool.Get().(*piece)
+
+	return o.second.read(o.result.Body)
+}
+
+// close releases the response.
+func (o *opening) close() {
+	o.result.Discard()
+
+	for _, p := range []*piece{o.first, o.second} {
+		if p != nil {
+			o.pool.pool.Put(p)
+		}
+	}
+}
+
+// send passes the response on. It returns an error if the body ends early: the connection must then be aborted, so that
+// a truncated response never looks complete.
+func (o *opening) send(w http.ResponseWriter) error {
+	defer o.close()
 
 	h := w.Header()
-	if r.Length >= 0 {
-		h["Content-Length"] = []string{strconv.FormatInt(r.Length, 10)}
+	if n := o.result.Length; n >= 0 {
+		h["Content-Length"] = []string{strconv.FormatInt(n, 10)}
 	}
 
 	// A nil value keeps net/http from guessing a content type that the backend server did not send.
@@ -39,12 +122,39 @@
 		h["Content-Type"] = nil
 	}
 
-	w.WriteHeader(r.Status)
+	w.WriteHeader(o.result.Status)
+
+	for next := o.first; ; {
+		if _, err := w.Write(next.buf[:next.n]); err != nil {
+			return errReceiver
+		}
+
+		if next.last {
+			return nil
+		}
 
-	b, _ := c.pool.Get().(*[]byte)
-	defer c.pool.Put(b)
+		if next == o.first {
+			next = o.second
 
-	if _, err := io.CopyBuffer(struct{ io.Writer }{w}, struct{ io.Reader }{r.Body}, *b); err != nil {
-		panic(http.ErrAbortHandler)
+			continue
+		}
+
+		if err := next.read(o.result.Body); err != nil {
+			return err
+		}
 	}
 }
+
+// errReceiver is returned if the receiver of a response has closed the connection.
+var errReceiver = errors.New("receiver has closed the connection")
+
+// incomplete returns the result of a request whose response was not complete. late is true if its deadline has passed,
+// which closes the connection to the sender.
+func incomplete(late bool, err error) gate.Result {
+	reason := spar.ReasonBroken
+	if late {
+		reason = spar.ReasonDeadline
+	}
+
+	return gate.UnknownOutcome(reason, "response is incomplete: "+err.Error())
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -82,7 +82,7 @@
 	deps    Deps
 	retries *RetryBudget
 	tracker *Tracker
-	buffers *copyBufferPool
+	pieces  *piecePool
 	// servedLog limits the log lines of requests that a backend server answered, and failedLog those of all
 	// other requests.
 	servedLog *tally.Limiter
@@ -98,7 +98,7 @@
 // New returns an Entry.
 func New(cfg Settings, deps Deps) *Entry {
 	return &Entry{
-		cfg: cfg, deps: deps, retries: NewRetryBudget(), tracker: NewTracker(), buffers: newCopyBufferPool(),
+		cfg: cfg, deps: deps, retries: NewRetryBudget(), tracker: NewTracker(), pieces: newPiecePool(),
 		servedLog: tally.NewLimiter(deps.Clock, maxServedLines), failedLog: tally.NewLimiter(deps.Clock, maxFailedLines),
 	}
 }
@@ -158,11 +158,11 @@
 
 	result.Service = req.Service
 	took := e.deps.Clock.Now() - arrived
+	o, result := e.open(r.Context(), req, account, result)
 	e.record(req, result, rule, set.Version, took)
 
-	if result.Outcome == spar.OutcomeCompleted {
-		e.countResponse(account, result)
-		e.deliver(w, result)
+	if o != nil {
+		e.deliver(w, req, o)
 
 		return
 	}
@@ -196,12 +196,42 @@
 	return a.behind && bad.dependsOnRules()
 }
 
-// countResponse counts the part of a response that the gate of this node holds in memory. The response is sent even if
-// there is no room; the attempt makes stalled connections be closed.
+// open reads the first part of a completed request's response. If the response is incomplete, it returns the result
+// that the caller gets in its place.
+func (e *Entry) open(
+	ctx context.Context, req gate.Request, account *budget.Account, result gate.Result,
+) (*opening, gate.Result) {
+	if result.Outcome != spar.OutcomeCompleted {
+		return nil, result
+	}
+
+	e.countResponse(account, result)
+
+	o, err := e.pieces.open(ctx, result)
+
+	switch {
+	case errors.Is(err, errClosing):
+		panic(http.ErrAbortHandler)
+	case err != nil:
+		failed := incomplete(e.deps.Clock.Now() >= req.Deadline, err)
+		failed.Service, failed.Node, failed.Attempts = result.Service, result.Node, result.Attempts
+
+		return nil, failed
+	}
+
+	return o, result
+}
+
+// countResponse counts the part of a response that this node holds in memory: of its own backend server up to
+// MaxBufferedBytes, and of another node a short response, or the first parts of a long one. The response is sent even
+// if there is no room; the attempt makes stalled connections be closed.
 func (e *Entry) countResponse(account *budget.Account, r gate.Result) {
+	held := min(max(0, r.Length), 2*pieceBytes)
 	if r.Node == e.cfg.Node {
-		_ = account.Take(min(max(0, r.Length), e.cfg.MaxBufferedBytes))
+		held = min(max(0, r.Length), e.cfg.MaxBufferedBytes)
 	}
+
+	_ = account.Take(held)
 }
 
 // serialize lets a request that must not run twice wait until all earlier requests of its connection have been
--- a/entry/hop.go
+++ b/entry/hop.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -155,6 +156,8 @@
 		Method: req.Method, URI: req.URI, Host: req.Host, Body: req.Body,
 		Header: encodeHop(req, e.deps.Clock.Now()),
 		Match:  func(h http.Header) conns.Match { return conns.RequireID(h.Get(hopID), req.ID) },
+
+		BodyGrace: gate.BodyGrace,
 	})
 	if failure != nil {
 		return sendFailure(ctx, failure)
@@ -164,7 +167,28 @@
 		e.deps.Mesh.UpdateLoad(c.Node, l)
 	}
 
-	return decodeResult(resp)
+	return receiveShort(ctx, decodeResult(resp))
+}
+
+// receiveShort reads the body of a response that is not longer than a piece. If it is truncated, the outcome of the
+// request is unknown, and the request may be sent again.
+func receiveShort(ctx context.Context, r gate.Result) gate.Result {
+	if r.Outcome != spar.OutcomeCompleted || r.Length < 0 || r.Length > pieceBytes {
+		return r
+	}
+	defer r.Discard()
+
+	var b bytes.Buffer
+
+	b.Grow(int(r.Length) + bytes.MinRead)
+
+	if _, err := b.ReadFrom(r.Body); err != nil {
+		return incomplete(ctx.Err() != nil, err)
+	}
+
+	r.Body = io.NopCloser(&b)
+
+	return r
 }
 
 // sendFailure returns the result of a request to another node that got no response.
--- a/entry/inbound.go
+++ b/entry/inbound.go
@@ -28,7 +28,7 @@
 	log          *log.Logger
 	maxBodyBytes int64
 	memory       *budget.Budget
-	buffers      *copyBufferPool
+	pieces       *piecePool
 	// failedLog limits the log lines of requests that can't be read.
 	failedLog *tally.Limiter
 }
@@ -40,7 +40,7 @@
 ) *Inbound {
 	return &Inbound{
 		gate: g, link: link, clock: clock, log: l, maxBodyBytes: maxBodyBytes, memory: memory,
-		buffers: newCopyBufferPool(), failedLog: tally.NewLimiter(clock, maxFailedLines),
+		pieces: newPiecePool(), failedLog: tally.NewLimiter(clock, maxFailedLines),
 	}
 }
 
@@ -59,12 +59,12 @@
 	req, err := decodeHop(r, body, i.clock.Now())
 	if err != nil {
 		i.log.Warn("cannot decode request from node", "cause", err)
-		i.write(w, r.Header.Get(hopID), gate.Refused(spar.ReasonBadRequest, 0))
+		i.write(w, r, r.Header.Get(hopID), gate.Refused(spar.ReasonBadRequest, 0))
 
 		return
 	}
 
-	i.write(w, req.ID, i.serve(r.Context(), req))
+	i.write(w, r, req.ID, i.serve(r.Context(), req))
 }
 
 // readRequest reads the body of a request, for which there must be memory together with its head. Nodes always send the
@@ -95,7 +95,7 @@
 		result = gate.Refused(spar.ReasonMemory, memoryRetryAfter)
 	}
 
-	i.write(w, r.Header.Get(hopID), result)
+	i.write(w, r, r.Header.Get(hopID), result)
 }
 
 // serve runs a request. A download is refused if the link could not send its response by the request's objective.
@@ -158,35 +158,55 @@
 	return b.ReadCloser.Close()
 }
 
-// write sends a result to the node that sent the request, with the current load of the backend server.
-func (i *Inbound) write(w http.ResponseWriter, id string, r gate.Result) {
+// write sends a result to the node that sent the request r, with the current load of the backend server.
+func (i *Inbound) write(w http.ResponseWriter, r *http.Request, id string, result gate.Result) {
 	i.link.Record(responseHeadBytes)
 
-	h := w.Header()
-	for name, values := range r.Header {
-		h[name] = values
+	var o *opening
+
+	if result.Outcome == spar.OutcomeCompleted {
+		var err error
+		if o, err = i.pieces.open(r.Context(), result); err != nil {
+			result = incomplete(r.Context().Err() != nil, err)
+		}
 	}
 
+	h := w.Header()
 	h[hopID] = []string{id}
-	h[spar.HeaderOutcome] = []string{string(r.Outcome)}
+	h[spar.HeaderOutcome] = []string{string(result.Outcome)}
 	setLoad(h, i.gate.Load())
 
-	if r.Outcome == spar.OutcomeCompleted {
-		i.buffers.copyResponse(w, r)
+	if o != nil {
+		i.pass(w, id, o)
 
 		return
 	}
 
-	h[spar.HeaderReason] = []string{string(r.Reason)}
-	h[hopRetryAfter] = []string{strconv.Itoa(int(r.RetryAfter))}
+	h[spar.HeaderReason] = []string{string(result.Reason)}
+	h[hopRetryAfter] = []string{strconv.Itoa(int(result.RetryAfter))}
 
-	if r.Detail != "" {
-		h[hopDetail] = []string{r.Detail}
+	if result.Detail != "" {
+		h[hopDetail] = []string{result.Detail}
 	}
 
-	if r.ReachedServer {
+	if result.ReachedServer {
 		h[hopArrived] = []string{"1"}
 	}
 
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
+
+// pass passes the backend server's response on.
+func (i *Inbound) pass(w http.ResponseWriter, id string, o *opening) {
+	h := w.Header()
+	for name, values := range o.result.Header {
+		if _, own := h[name]; !own {
+			h[name] = values
+		}
+	}
+
+	if err := o.send(w); err != nil {
+		i.log.Warn("response to node cut", "id", id, "status", o.result.Status, "cause", err)
+		panic(http.ErrAbortHandler)
+	}
+}
--- a/entry/reply.go
+++ b/entry/reply.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -30,10 +31,10 @@
 	return r.status == http.StatusNotFound || r.status == http.StatusUnauthorized
 }
 
-// deliver passes a backend server's response on to the caller.
-func (e *Entry) deliver(w http.ResponseWriter, r gate.Result) {
+// deliver passes a backend server's response on to the caller. If it ends early, the caller's connection is aborted.
+func (e *Entry) deliver(w http.ResponseWriter, req gate.Request, o *opening) {
 	h := w.Header()
-	for name, values := range r.Header {
+	for name, values := range o.result.Header {
 		h[name] = values
 	}
 
@@ -41,7 +42,25 @@
 		h["Connection"] = []string{"close"}
 	}
 
-	e.buffers.copyResponse(w, r)
+	err := o.send(w)
+	if err == nil {
+		return
+	}
+
+	if !errors.Is(err, errReceiver) {
+		e.deps.Tally.Count("spar_entry_cut_total")
+		e.logCut(req, o.result, err)
+	}
+
+	panic(http.ErrAbortHandler)
+}
+
+// logCut logs that a response ended after a part of it had been sent.
+func (e *Entry) logCut(req gate.Request, r gate.Result, cause error) {
+	if dropped, ok := e.failedLog.Allow(); ok {
+		e.deps.Log.Warn("response cut", "id", req.ID, "service", req.Service, "node", r.Node, "status", r.Status,
+			"bytes", r.Length, "left_ms", int(req.Deadline-e.deps.Clock.Now()), "cause", cause, "left_out", dropped)
+	}
 }
 
 // reject responds to a request that can't be routed.
