Refuse what a stopping process can't finish, and answer what it can't

Report of another operator: in a planned stop, requests that came late in the grace were taken and passed on, and cut at its end without an answer, among them requests that may not be repeated.

It could happen here in two ways: a request whose body arrived late was passed on after new requests were refused, since that was decided at its head; and a request that was accepted in the first 2.6 s and outlasted the process was cut. A request behind others on its connection can't: the response before it closes the connection.

Change: whether the process is about to end is checked again before a request is routed, and deadlines of requests that arrive while it is leaving end before it does, so that gates refuse what can't be finished and the caller gets an answer.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -63,6 +63,8 @@
 	Closing func() bool
 	// Closed reports whether new requests are refused, since the process is about to end.
 	Closed func() bool
+	// EndsAt returns when the process ends, and false if it is not about to end. It may be nil.
+	EndsAt EndTime
 	// RulesLag returns how long peers have been known to have newer rules, and whether they have any.
 	RulesLag func() (spar.Millis, bool)
 	// Quarantined reports whether a request must not run now because it crashes backend servers, and the time
@@ -153,7 +155,7 @@
 
 	result, ok := e.serialize(ctx, r, req)
 	if ok {
-		result = e.routeUnlessQuarantined(ctx, req, rule)
+		result = e.routeAdmitted(ctx, req, rule)
 	}
 
 	result.Service = req.Service
@@ -291,6 +293,7 @@
 		remaining = min(remaining, spar.Millis(ms)-replyMargin)
 	}
 
+	deadline := e.deps.EndsAt.bound(now + remaining)
 	service := rule.Destination(hash(id))
 	key := gate.NoKey
 
@@ -310,7 +313,7 @@
 	return gate.Request{
 		ID: id, Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: r.Header, Service: service,
 		Caller: e.cfg.Service, Key: key, Kind: rule.Kind, Priority: priority(rule, tenant), Tenant: tenant.Name,
-		Deadline: now + remaining, Objective: now + min(remaining, objective(rule)),
+		Deadline: deadline, Objective: min(deadline, now+objective(rule)),
 		Pipelined: httpd.Pipelined(r.Context()),
 	}, rule, nil
 }
--- a/entry/inbound.go
+++ b/entry/inbound.go
@@ -20,33 +20,38 @@
 // responseHeadBytes is the usual size in bytes of the header of a response between nodes.
 const responseHeadBytes = 400
 
+// InboundDeps are the dependencies of an Inbound.
+type InboundDeps struct {
+	Clock spar.Clock
+	Gate  *gate.Gate
+	// Link is the VM's network link, over which responses are paced.
+	Link *pace.Link
+	Log  *log.Logger
+	// Memory bounds the memory that requests hold. It may be nil.
+	Memory *budget.Budget
+	EndsAt EndTime
+}
+
 // Inbound serves the requests that other nodes send to the backend server of this VM.
 type Inbound struct {
-	gate         *gate.Gate
-	link         *pace.Link
-	clock        spar.Clock
-	log          *log.Logger
+	deps         InboundDeps
 	maxBodyBytes int64
-	memory       *budget.Budget
 	pieces       *piecePool
 	// failedLog limits the log lines of requests that can't be read.
 	failedLog *tally.Limiter
 }
 
-// NewInbound returns a handler that passes requests to a gate and paces responses over the VM's link. It takes the
-// memory of bodies from a budget.
-func NewInbound(
-	g *gate.Gate, link *pace.Link, clock spar.Clock, l *log.Logger, maxBodyBytes int64, memory *budget.Budget,
-) *Inbound {
+// NewInbound returns a handler that passes requests with bodies of up to maxBodyBytes to a gate.
+func NewInbound(maxBodyBytes int64, deps InboundDeps) *Inbound {
 	return &Inbound{
-		gate: g, link: link, clock: clock, log: l, maxBodyBytes: maxBodyBytes, memory: memory,
-		pieces: newPiecePool(), failedLog: tally.NewLimiter(clock, maxFailedLines),
+		deps: deps, maxBodyBytes: maxBodyBytes, pieces: newPiecePool(),
+		failedLog: tally.NewLimiter(deps.Clock, maxFailedLines),
 	}
 }
 
 // ServeHTTP runs a request and sends its result back.
 func (i *Inbound) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	account := i.memory.Open(r.RemoteAddr)
+	account := i.deps.Memory.Open(r.RemoteAddr)
 	defer account.Close()
 
 	body, err := i.readRequest(r, account)
@@ -56,14 +61,16 @@
 		return
 	}
 
-	req, err := decodeHop(r, body, i.clock.Now())
+	req, err := decodeHop(r, body, i.deps.Clock.Now())
 	if err != nil {
-		i.log.Warn("cannot decode request from node", "cause", err)
+		i.deps.Log.Warn("cannot decode request from node", "cause", err)
 		i.write(w, r, r.Header.Get(hopID), gate.Refused(spar.ReasonBadRequest, 0))
 
 		return
 	}
 
+	req.Deadline = i.deps.EndsAt.bound(req.Deadline)
+	req.Objective = min(req.Objective, req.Deadline)
 	i.write(w, r, req.ID, i.serve(r.Context(), req))
 }
 
@@ -85,7 +92,7 @@
 // rejectBody responds to a request whose body was not read to its end.
 func (i *Inbound) rejectBody(w http.ResponseWriter, r *http.Request, err error) {
 	if dropped, ok := i.failedLog.Allow(); ok {
-		i.log.Warn("cannot read request from node", "bytes", r.ContentLength, "cause", err, "left_out", dropped)
+		i.deps.Log.Warn("cannot read request from node", "bytes", r.ContentLength, "cause", err, "left_out", dropped)
 	}
 
 	w.Header().Set("Connection", "close")
@@ -101,13 +108,13 @@
 // serve runs a request. A download is refused if the link could not send its response by the request's objective.
 func (i *Inbound) serve(ctx context.Context, req gate.Request) gate.Result {
 	if req.Kind != rules.Download {
-		r := i.gate.Serve(ctx, req)
-		i.link.Record(max(0, r.Length))
+		r := i.deps.Gate.Serve(ctx, req)
+		i.deps.Link.Record(max(0, r.Length))
 
 		return r
 	}
 
-	t, after, ok := i.link.Reserve(req.Objective)
+	t, after, ok := i.deps.Link.Reserve(req.Objective)
 	if !ok {
 		r := gate.Refused(spar.ReasonShed, after)
 		r.Detail = "link is busy"
@@ -115,7 +122,7 @@
 		return r
 	}
 
-	r := i.gate.Serve(ctx, req)
+	r := i.deps.Gate.Serve(ctx, req)
 	if r.Outcome != spar.OutcomeCompleted {
 		t.Close(false)
 
@@ -160,7 +167,7 @@
 
 // write sends a result to the node that sent the request r, with the current load of the backend server.
 func (i *Inbound) write(w http.ResponseWriter, r *http.Request, id string, result gate.Result) {
-	i.link.Record(responseHeadBytes)
+	i.deps.Link.Record(responseHeadBytes)
 
 	var o *opening
 
@@ -174,7 +181,7 @@
 	h := w.Header()
 	h[hopID] = []string{id}
 	h[spar.HeaderOutcome] = []string{string(result.Outcome)}
-	setLoad(h, i.gate.Load())
+	setLoad(h, i.deps.Gate.Load())
 
 	if o != nil {
 		i.pass(w, id, o)
@@ -206,7 +213,7 @@
 	}
 
 	if err := o.send(w); err != nil {
-		i.log.Warn("response to node cut", "id", id, "status", o.result.Status, "cause", err)
+		i.deps.Log.Warn("response to node cut", "id", id, "status", o.result.Status, "cause", err)
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/entry/memory_test.go
+++ b/entry/memory_test.go
@@ -118,8 +118,11 @@
 	clock := spar.RuntimeClock()
 	link := pace.New(clock, 0)
 	memory := budget.New(20_000, 1)
-	inbound := entry.NewInbound(gate.New(gate.Settings{}, gate.Deps{Clock: clock, Link: link, Log: log.New(io.Discard)}),
-		link, clock, log.New(io.Discard), bodyLimit, memory)
+	l := log.New(io.Discard)
+	inbound := entry.NewInbound(bodyLimit, entry.InboundDeps{
+		Clock: clock, Gate: gate.New(gate.Settings{}, gate.Deps{Clock: clock, Link: link, Log: l}), Link: link, Log: l,
+		Memory: memory,
+	})
 
 	w := post(inbound, iotest.ErrReader(io.ErrClosedPipe), 30_000)
 	qt.Check(t, w.Code, qt.Equals, http.StatusServiceUnavailable)
--- a/entry/route.go
+++ b/entry/route.go
@@ -22,9 +22,14 @@
 	maxAttempts = 4
 )
 
-// routeUnlessQuarantined routes a request, or refuses it if it crashes backend servers or its tenant has used up its
-// quota.
-func (e *Entry) routeUnlessQuarantined(ctx context.Context, req gate.Request, rule rules.Rule) gate.Result {
+// routeAdmitted routes a request, or refuses it if the process is about to end, the request crashes backend servers, or
+// its tenant has used up its quota.
+func (e *Entry) routeAdmitted(ctx context.Context, req gate.Request, rule rules.Rule) gate.Result {
+	// The process may have begun to end while the request waited for its body or its turn.
+	if e.deps.Closed() {
+		return gate.Refused(spar.ReasonLeaving, minRetryAfter)
+	}
+
 	if after, quarantined := e.deps.Quarantined(req); quarantined {
 		return gate.Refused(spar.ReasonQuarantined, after)
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -123,6 +123,8 @@
 	leaving atomic.Bool
 	// closed is true once new requests are refused, since they might not finish before the process ends.
 	closed atomic.Bool
+	// end is when the process ends on the local clock, once it is leaving; nil before.
+	end atomic.Pointer[spar.Millis]
 	// active is the number of requests in flight.
 	active atomic.Int64
 	// fleet follows the table of nodes.
@@ -187,11 +189,14 @@
 	}, entry.Deps{
 		Clock: deps.Clock, Rules: r.operator.Rules, Mesh: r.mesh, Maps: r.maps, Gate: r.gate, Pool: pool,
 		Log: deps.Log, Tally: deps.Tally,
-		ZoneWithdrawn: r.operator.ZoneWithdrawn, Closing: r.leaving.Load, Closed: r.closed.Load, RulesLag: r.rulesLag,
+		ZoneWithdrawn: r.operator.ZoneWithdrawn, Closing: r.leaving.Load, Closed: r.closed.Load, EndsAt: r.endsAt,
+		RulesLag:    r.rulesLag,
 		Quarantined: r.crashes.Quarantined, Memory: r.memory, Quota: r.quota,
 		QuotaState: r.quota.State,
 	})
-	r.inbound = entry.NewInbound(r.gate, deps.Link, deps.Clock, deps.Log, int64(cfg.MaxBodyBytes), r.memory)
+	r.inbound = entry.NewInbound(int64(cfg.MaxBodyBytes), entry.InboundDeps{
+		Clock: deps.Clock, Gate: r.gate, Link: deps.Link, Log: deps.Log, Memory: r.memory, EndsAt: r.endsAt,
+	})
 	r.mesh.Register(r.mux)
 	r.owner.Register(r.mux)
 	r.registerOperator()
@@ -364,10 +369,21 @@
 	drainPollInterval spar.Millis = 50
 )
 
+// endsAt returns when the process ends, and false if it is not leaving.
+func (r *Relay) endsAt() (spar.Millis, bool) {
+	if end := r.end.Load(); end != nil {
+		return *end, true
+	}
+
+	return 0, false
+}
+
 // drain stops in two steps: it announces that the node is leaving while requests are still accepted, and then
 // waits for those in flight. Both steps together take at most ShutdownGrace.
 func (r *Relay) drain(servers []server) {
 	start := r.deps.Clock.Now()
+	end := start + r.cfg.ShutdownGrace
+	r.end.Store(&end)
 	r.leaving.Store(true)
 	r.deps.Log.Info("leaving", "active", r.active.Load())
 	r.mesh.Announce()
