Take the time until a stopped process is killed from the platform

What callers saw: a relay ended 5.5 s after SIGTERM whatever time it was given, so that on platforms with a longer one requests were cut that could have ended; with a shorter one it would have been killed.

Cause: requests.grace_ms had a fixed default and deploy/relay.ini did not set it.

The process ends half a second earlier, and refuses new requests after half of the time at the latest. The line "started" names the time. Nothing changes where it is 6 s.

--- a/config/relay.go
+++ b/config/relay.go
@@ -60,8 +60,10 @@
 	MaxRulesAge spar.Millis
 	// SpreadMode is how a backend server is chosen for requests without a key: SpreadReports or SpreadSample.
 	SpreadMode string
-	// ShutdownGrace is the time after SIGTERM in which requests in flight may complete.
+	// ShutdownGrace is the time after SIGTERM in which requests in flight may complete if KillAfter, the time from
+	// SIGTERM to SIGKILL, is 0. ShutdownTime returns the time in force.
 	ShutdownGrace spar.Millis
+	KillAfter     spar.Millis
 
 	// MachineBytes is the memory of the machine, and Descriptors the number of descriptors that the process may open; 0
 	// if they are not known.
@@ -101,6 +103,9 @@
 	budgetShare = 0.4
 	// runtimeShare is the part of the machine's memory above which the runtime collects garbage without pause.
 	runtimeShare = 0.8
+	// killMargin is the time between the end of a process that was told to stop and the moment at which it would be
+	// killed.
+	killMargin spar.Millis = 500
 	// connectionShare is the part of the descriptors that client connections may use. The rest is for connections to
 	// and from nodes, the backend server and the store.
 	connectionShare = 0.75
@@ -120,6 +125,15 @@
 	return int64(float64(s.MachineBytes) * runtimeShare)
 }
 
+// ShutdownTime returns the time after SIGTERM in which requests in flight may complete.
+func (s RelaySettings) ShutdownTime() spar.Millis {
+	if s.KillAfter <= 0 {
+		return s.ShutdownGrace
+	}
+
+	return max(s.KillAfter/2, s.KillAfter-killMargin)
+}
+
 // ConnectionLimit returns the number of client connections that may be open.
 func (s RelaySettings) ConnectionLimit() int {
 	if s.Descriptors == 0 {
@@ -208,8 +222,13 @@
 			"how a backend server is chosen for requests without a key: by load reports that are weighed by their age, "+
 				"or as the cheapest of a few random ones",
 			func(s *RelaySettings, v string) { s.SpreadMode = v }),
-		millis("requests", "grace_ms", 5500, 100, 600_000, "time after SIGTERM in which requests in flight may complete",
+		millis("requests", "grace_ms", 5500, 100, 600_000,
+			"time after SIGTERM in which requests in flight may complete, if `kill_after_s` is 0",
 			func(s *RelaySettings, v spar.Millis) { s.ShutdownGrace = v }),
+		number("requests", "kill_after_s", 0, 0, 600,
+			"seconds from SIGTERM to SIGKILL, 0 if they are not known; requests in flight may complete until half a second "+
+				"before SIGKILL",
+			func(s *RelaySettings, n float64) { s.KillAfter = spar.Millis(n * 1000) }),
 	}
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -282,7 +282,8 @@
 	}
 
 	r.deps.Log.Info("started", "node", r.cfg.Node, "service", r.cfg.Service, "zone", r.cfg.Zone,
-		"incarnation", r.deps.Incarnation, "budget_bytes", r.cfg.MemoryBudget(), "connections", r.cfg.ConnectionLimit())
+		"incarnation", r.deps.Incarnation, "budget_bytes", r.cfg.MemoryBudget(), "connections", r.cfg.ConnectionLimit(),
+		"shutdown_ms", int(r.cfg.ShutdownTime()))
 
 	select {
 	case err := <-failed:
@@ -379,10 +380,11 @@
 }
 
 // drain stops in two steps: it announces that the node is leaving while requests are still accepted, and then
-// waits for those in flight. Both steps together take at most ShutdownGrace.
+// waits for those in flight. Both steps together take at most ShutdownTime, and the first one half of it.
 func (r *Relay) drain(servers []server) {
 	start := r.deps.Clock.Now()
-	end := start + r.cfg.ShutdownGrace
+	end := start + r.cfg.ShutdownTime()
+	notice := min(noticePeriod, r.cfg.ShutdownTime()/2)
 	r.end.Store(&end)
 	r.leaving.Store(true)
 	r.deps.Log.Info("leaving", "active", r.active.Load())
@@ -390,12 +392,12 @@
 	r.quota.Leave(r.work)
 
 	for {
-		elapsed := r.deps.Clock.Now() - start
-		if elapsed >= noticePeriod {
+		now := r.deps.Clock.Now()
+		if now >= start+notice {
 			r.closed.Store(true)
 		}
 
-		if elapsed >= r.cfg.ShutdownGrace || elapsed >= noticePeriod && r.active.Load() == 0 {
+		if now >= end || now >= start+notice && r.active.Load() == 0 {
 			break
 		}
 
