Deliver a server's own failure if its repeat is not completed

What callers saw: 502 in place of the 500 that the backend server had sent, if the repeat was refused or its outcome was unknown.

Cause: a response was discarded when the repeat began.

Evidence: TestRefusedRepeatIsNoProof, which now asks for the server's failure, failed before.

--- a/entry/hop.go
+++ b/entry/hop.go
@@ -186,7 +186,7 @@
 		return incomplete(ctx.Err() != nil, err)
 	}
 
-	r.Body = io.NopCloser(&b)
+	r.Body, r.Whole = io.NopCloser(&b), true
 
 	return r
 }
--- a/entry/retry.go
+++ b/entry/retry.go
@@ -9,9 +9,45 @@
 	"sardinespar.example/spar/rules"
 )
 
-// A result remains the result of its request until a further attempt begins: only then is its response discarded. A
-// retry is taken from the budget once nothing else is missing for the attempt, and returned if the attempt reaches no
-// backend server.
+// A result remains the result of its request until a further attempt begins. A retry is taken from the budget once
+// nothing else is missing for the attempt, and returned if the attempt reaches no backend server.
+
+// history is what the earlier attempts of a request leave for its final result.
+type history struct {
+	// mayHaveRun is true if an attempt has run the request, or may have.
+	mayHaveRun bool
+	// failure is the last server error that is kept; nil if there is none.
+	failure *gate.Result
+}
+
+// add takes over the result of an attempt when a further one begins. It keeps a short server error and discards any
+// other response.
+func (h *history) add(r gate.Result) {
+	h.mayHaveRun = h.mayHaveRun || r.Outcome != spar.OutcomeNotRun
+
+	if r.Outcome == spar.OutcomeCompleted && r.Whole && r.Length <= pieceBytes {
+		h.failure = &r
+	} else {
+		r.Discard()
+	}
+}
+
+// final returns the result of all attempts, of which last is that of the last one. If that one is not completed, it is
+// the server error of an earlier one. If an earlier one may have run, a refusal doesn't prove that the request has not.
+func (h *history) final(last gate.Result) gate.Result {
+	switch {
+	case last.Outcome == spar.OutcomeCompleted:
+	case h.failure != nil:
+		failure := *h.failure
+		failure.Attempts = last.Attempts
+
+		return failure
+	case h.mayHaveRun && last.Outcome == spar.OutcomeNotRun:
+		last.Outcome = spar.OutcomeUnknown
+	}
+
+	return last
+}
 
 // mayRetry reports whether a request may be sent again after a result.
 func (e *Entry) mayRetry(ctx context.Context, req gate.Request, rule rules.Rule, r gate.Result, d *delivery) bool {
--- a/entry/route.go
+++ b/entry/route.go
@@ -50,9 +50,9 @@
 	}
 
 	var (
-		tried      = map[string]bool{}
-		last       = gate.Refused(spar.ReasonUnreachable, minRetryAfter)
-		mayHaveRun bool
+		tried   = map[string]bool{}
+		last    = gate.Refused(spar.ReasonUnreachable, minRetryAfter)
+		earlier history
 	)
 
 	for len(tried) < maxAttempts {
@@ -61,8 +61,7 @@
 			break
 		}
 
-		mayHaveRun = mayHaveRun || last.Outcome != spar.OutcomeNotRun
-		last.Discard()
+		earlier.add(last)
 
 		tried[c.Node] = true
 		last = e.attempt(ctx, c, req, d)
@@ -73,7 +72,7 @@
 		}
 	}
 
-	return finalResult(last, mayHaveRun)
+	return earlier.final(last)
 }
 
 // choose returns the node for the next attempt of a request without a key.
@@ -86,16 +85,6 @@
 	return e.tracker.Best(candidates, req.Kind, tried, now)
 }
 
-// finalResult returns the result of all attempts. If an earlier attempt may have run, a later refusal doesn't prove
-// that the request has not run.
-func finalResult(r gate.Result, mayHaveRun bool) gate.Result {
-	if mayHaveRun && r.Outcome == spar.OutcomeNotRun {
-		r.Outcome = spar.OutcomeUnknown
-	}
-
-	return r
-}
-
 // attempt sends a request to one node and records the result.
 func (e *Entry) attempt(ctx context.Context, c Candidate, req gate.Request, d *delivery) gate.Result {
 	e.tracker.Begin(c.Node)
@@ -118,11 +107,11 @@
 // of the time to its objective, since moving a key to another server takes about that long.
 func (e *Entry) routeKeyed(ctx context.Context, req gate.Request, rule rules.Rule, d *delivery) gate.Result {
 	var (
-		start      = e.deps.Clock.Now()
-		until      = start + ownerWait(req, start)
-		attempts   int
-		mayHaveRun bool
-		last       = gate.Refused(spar.ReasonNoOwner, minRetryAfter)
+		start    = e.deps.Clock.Now()
+		until    = start + ownerWait(req, start)
+		attempts int
+		last     = gate.Refused(spar.ReasonNoOwner, minRetryAfter)
+		earlier  history
 	)
 
 	for {
@@ -133,22 +122,21 @@
 		case missing != "":
 			last.Detail = missing
 		case !e.takeRetry(ctx, req, last, d):
-			return finalResult(last, mayHaveRun)
+			return earlier.final(last)
 		default:
-			mayHaveRun = mayHaveRun || last.Outcome != spar.OutcomeNotRun
-			last.Discard()
+			earlier.add(last)
 
 			attempts++
 			last = e.attempt(ctx, c, req, d)
 			last.Attempts = attempts
 
 			if !e.mayRetry(ctx, req, rule, last, d) || last.Reason == spar.ReasonShed && !last.ReachedServer {
-				return finalResult(last, mayHaveRun)
+				return earlier.final(last)
 			}
 		}
 
 		if e.deps.Clock.Now() >= until || !e.awaitMapChange(ctx, changed) {
-			return finalResult(withJitter(last), mayHaveRun)
+			return earlier.final(withJitter(last))
 		}
 	}
 }
--- a/gate/request.go
+++ b/gate/request.go
@@ -45,6 +45,8 @@
 	Body    io.ReadCloser
 	// Length is the length of the body, or -1.
 	Length int64
+	// Whole reports whether the complete body is in memory.
+	Whole bool
 	// RetryAfter is the time after which a refused request may be retried.
 	RetryAfter spar.Millis
 	// ReachedServer reports whether the request reached a backend server, which then refused it or may have run it.
--- a/gate/run.go
+++ b/gate/run.go
@@ -137,7 +137,7 @@
 		r.Length = resp.ContentLength
 	}
 
-	r.Body = io.NopCloser(head)
+	r.Body, r.Whole = io.NopCloser(head), true
 
 	return r
 }
