--- a/owner/departure_test.go
+++ b/owner/departure_test.go
@@ -18,6 +18,25 @@
 	return owner.Heartbeat{Incarnation: m.srv.incarnation, Service: service, Addr: m.appAddr(), Slots: 9, Seq: 900}
 }
 
+// withQuietServer runs a test on two machines. The backend server of the first, m, sends no heartbeats of its own.
+func withQuietServer(t *testing.T, run func(t *testing.T, c *cluster, m *machine)) {
+	t.Helper()
+
+	synctest.Test(t, func(t *testing.T) {
+		c, stop := newCluster(2, 2, flaw.Set{}, byHeartbeat)
+		m := c.machines[0]
+
+		time.Sleep(5 * time.Second)
+		m.srv.stop()
+		synctest.Wait()
+
+		run(t, c, m)
+
+		c.close(stop)
+		synctest.Wait()
+	})
+}
+
 // reuseAfterDeparture lets a backend server depart and its node's process restart, and then delivers a late heartbeat
 // from before the departure. It reports whether the new process uses the backend server.
 func reuseAfterDeparture(t *testing.T, flaws flaw.Set, depart func(m *machine, b owner.Heartbeat)) bool {
@@ -136,14 +155,7 @@
 
 // Guards against a deregistration that arrives late and shuts out the next incarnation at the same id.
 func TestLateDeregistrationIgnored(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c, stop := newCluster(2, 2, flaw.Set{}, byHeartbeat)
-		m := c.machines[0]
-
-		time.Sleep(5 * time.Second)
-		m.srv.stop()
-		synctest.Wait()
-
+	withQuietServer(t, func(t *testing.T, c *cluster, m *machine) {
 		b := m.heartbeat()
 		start := b.Incarnation.StartedMs
 		beat := func(startedMs int64) bool {
@@ -191,22 +203,12 @@
 		qt.Check(t, beat(start+30), qt.IsFalse)
 		qt.Check(t, beat(start+40), qt.IsFalse)
 		qt.Check(t, beat(start+50), qt.IsTrue)
-
-		c.close(stop)
-		synctest.Wait()
 	})
 }
 
 // Guards against the acknowledgment of a departure that nothing but the process itself would remember.
 func TestDepartureNotAcknowledgedUnlessRecorded(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c, stop := newCluster(2, 2, flaw.Set{}, byHeartbeat)
-		m := c.machines[0]
-
-		time.Sleep(5 * time.Second)
-		m.srv.stop()
-		synctest.Wait()
-
+	withQuietServer(t, func(t *testing.T, c *cluster, m *machine) {
 		b := m.heartbeat()
 		b.Draining = true
 
@@ -228,22 +230,13 @@
 		time.Sleep(5 * time.Second)
 		c.store.Set(fault.StoreFaults{Outage: true})
 		qt.Check(t, m.process().owner.Deregister(c.ctx, b.Incarnation.ID, &start), qt.IsNil)
-
-		c.close(stop)
-		synctest.Wait()
 	})
 }
 
 // Guards against a departure that is never learned if no other node can be asked when the process starts.
 func TestDepartureLearnedLater(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c, stop := newCluster(2, 2, flaw.Set{}, byHeartbeat)
-		m, other := c.machines[0], c.machines[1]
-
-		time.Sleep(5 * time.Second)
-		m.srv.stop()
-		synctest.Wait()
-
+	withQuietServer(t, func(t *testing.T, c *cluster, m *machine) {
+		other := c.machines[1]
 		b := m.heartbeat()
 		start := b.Incarnation.StartedMs
 
@@ -262,22 +255,12 @@
 		c.net.HealPartition(m.host, other.host)
 		time.Sleep(5 * time.Second)
 		qt.Check(t, m.process().gate.Upstream().Ready, qt.IsFalse)
-
-		c.close(stop)
-		synctest.Wait()
 	})
 }
 
 // Guards against a backend server that ends draining and is shut out, because other nodes know that it drained.
 func TestServerThatEndsDrainingIsUsed(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c, stop := newCluster(2, 2, flaw.Set{}, byHeartbeat)
-		m := c.machines[0]
-
-		time.Sleep(5 * time.Second)
-		m.srv.stop()
-		synctest.Wait()
-
+	withQuietServer(t, func(t *testing.T, c *cluster, m *machine) {
 		b := m.heartbeat()
 		for _, draining := range []bool{true, false, true, false} {
 			b.Seq++
@@ -297,8 +280,5 @@
 		qt.Check(t, err, qt.IsNil)
 		time.Sleep(3 * time.Second)
 		qt.Check(t, m.process().gate.Upstream().Ready, qt.IsTrue)
-
-		c.close(stop)
-		synctest.Wait()
 	})
 }
