Send departures only until the next server reports, and count only nodes that know them

A node of an earlier build accepts a state and keeps no departure, so each copy is asked for before it counts. Expired records are looked for when one is added, not for each state.

--- a/owner/departure.go
+++ b/owner/departure.go
@@ -97,14 +97,21 @@
 	o.deps.Mesh.Announce()
 }
 
-// Departed returns the newest backend server that has deregistered or is draining.
+// Departed returns the newest backend server that has deregistered or is draining. It is zero once a later one sends
+// heartbeats, which shows that all earlier ones have ended.
 func (o *Owner) Departed() spar.Incarnation {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 
-	return o.departedLocked()
+	departed := o.departedLocked()
+	if departed.StartedMs < o.incarnation.StartedMs {
+		return spar.Incarnation{}
+	}
+
+	return departed
 }
 
+// departedLocked returns the newest backend server that has deregistered or is draining.
 func (o *Owner) departedLocked() spar.Incarnation {
 	if o.draining {
 		return o.incarnation
@@ -131,7 +138,7 @@
 
 	replicated := make(chan bool, 1)
 
-	go o.runReplicate(ctx, replicated)
+	go o.runReplicate(ctx, departed, replicated)
 
 	for ctx.Err() == nil {
 		if _, recorded := o.departureRecorded(); recorded {
--- a/owner/departure_peers.go
+++ b/owner/departure_peers.go
@@ -79,15 +79,21 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
-	l.removeExpiredLocked(now)
-
 	r, known := l.records[s.Node]
-	same := known && r.process == s.Incarnation
+	if !known {
+		if s.Departed.IsZero() {
+			return spar.Incarnation{}
+		}
 
-	switch {
-	case !known && s.Departed.IsZero():
-		return spar.Incarnation{}
-	case same && s.Seq >= r.seq, !same && s.Departed.StartedMs >= r.departed.StartedMs:
+		l.removeExpiredLocked(now)
+	}
+
+	newer := s.Departed.StartedMs >= r.departed.StartedMs
+	if r.process == s.Incarnation {
+		newer = s.Seq >= r.seq
+	}
+
+	if newer {
 		r.departed, r.process, r.seq = s.Departed, s.Incarnation, s.Seq
 	}
 
@@ -227,8 +233,8 @@
 	ctx, cancel := context.WithTimeout(ctx, departureCallTimeout.Duration())
 	defer cancel()
 
-	var d departureInfo
-	if err := o.deps.Peers.Call(ctx, p.PeerAddr, methodDeparture, departureQuery{Node: o.cfg.Node}, &d); err != nil {
+	d, err := o.askDeparture(ctx, p)
+	if err != nil {
 		o.deps.Log.Info("node not asked for departures", "peer", p.Node, "cause", err)
 
 		return
@@ -237,9 +243,9 @@
 	o.learnDeparture(d.Departed)
 }
 
-// runReplicate sends this node's state, which names the newest departure, to other nodes, unless ctx ends before
-// replicateDelay has passed. It sends on replicated whether enough of them have received it.
-func (o *Owner) runReplicate(ctx context.Context, replicated chan<- bool) {
+// runReplicate tells other nodes of a departure, unless ctx ends before replicateDelay has passed. It sends on
+// replicated whether enough of them know it.
+func (o *Owner) runReplicate(ctx context.Context, departed spar.Incarnation, replicated chan<- bool) {
 	if !o.deps.Clock.Sleep(ctx, replicateDelay) {
 		replicated <- false
 
@@ -248,16 +254,16 @@
 
 	now, timeout := o.deps.Clock.Now(), o.deps.Mesh.LivenessTimeout()
 	list := o.firstPeers(func(p mesh.Peer) bool { return p.LastHeard > 0 && p.Alive(now, timeout) && !p.Leaving })
-	received := make(chan bool, len(list))
+	known := make(chan bool, len(list))
 
 	for _, p := range list {
-		go o.runSendState(ctx, p, received)
+		go o.runTellDeparture(ctx, p, departed, known)
 	}
 
 	copies := 0
 
 	for range list {
-		if <-received {
+		if <-known {
 			copies++
 		}
 	}
@@ -265,17 +271,33 @@
 	replicated <- copies > 0 && copies >= min(departureCopies, len(list))
 }
 
-// runSendState sends this node's state to a peer, and on received whether it has arrived.
-func (o *Owner) runSendState(ctx context.Context, p mesh.Peer, received chan<- bool) {
+// runTellDeparture sends this node's state, which names the newest departure, to a peer. It sends on known whether the
+// peer knows a departure then.
+func (o *Owner) runTellDeparture(ctx context.Context, p mesh.Peer, departed spar.Incarnation, known chan<- bool) {
 	ctx, cancel := context.WithTimeout(ctx, departureCallTimeout.Duration())
 	defer cancel()
 
 	err := o.deps.Mesh.Exchange(ctx, p)
+
+	var d departureInfo
+	if err == nil {
+		d, err = o.askDeparture(ctx, p)
+	}
+
 	if err != nil {
-		o.deps.Log.Info("departure not replicated", "peer", p.Node, "cause", err)
+		o.deps.Log.Info("node not told of the departure", "peer", p.Node, "cause", err)
 	}
 
-	received <- err == nil
+	known <- err == nil && d.Departed == departed
+}
+
+// askDeparture asks a peer for the newest departure that it knows of this node's backend server.
+func (o *Owner) askDeparture(ctx context.Context, p mesh.Peer) (departureInfo, error) {
+	var d departureInfo
+
+	err := o.deps.Peers.Call(ctx, p.PeerAddr, methodDeparture, departureQuery{Node: o.cfg.Node}, &d)
+
+	return d, err
 }
 
 // firstPeers returns the first departurePeers of the peers that fit, in the order of the hash of their and this node's
