--- a/config/stop_test.go
+++ b/config/stop_test.go
@@ -4,7 +4,6 @@
 	"os"
 	"path/filepath"
 	"regexp"
-	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -13,36 +12,36 @@
 	"sardinespar.example/spar/config"
 )
 
-// renderRelayTemplate returns the settings file that the platform makes of deploy/relay.ini.
-func renderRelayTemplate(t *testing.T, values map[string]string) string {
+// deployedSettings returns the settings that the deploy file gives a relay on its command line, with the values of the
+// platform's fields.
+func deployedSettings(t *testing.T, fields map[string]string) []string {
 	t.Helper()
 
-	template, err := os.ReadFile(filepath.Join("..", "deploy", "relay.ini"))
+	text, err := os.ReadFile(filepath.Join("..", "deploy", "system.toml"))
 	qt.Assert(t, err, qt.IsNil)
 
-	text := regexp.MustCompile(`\{\{[#/][a-z_.]*\}\}`).ReplaceAllString(string(template), "")
+	found := regexp.MustCompile(`--set ([a-z_.]+=)\{\{([a-z_.]+)\}\}`).FindAllStringSubmatch(string(text), -1)
+	settings := make([]string, 0, len(found))
 
-	return regexp.MustCompile(`\{\{[a-z_.0-9]*\}\}`).ReplaceAllStringFunc(text, func(field string) string {
-		name := strings.Trim(field, "{}")
-		value, ok := values[name]
-		qt.Check(t, ok, qt.IsTrue, qt.Commentf("template has field %s", name))
+	for _, m := range found {
+		value, ok := fields[m[2]]
+		qt.Check(t, ok, qt.IsTrue, qt.Commentf("unknown field %s", m[2]))
 
-		return value
-	})
+		settings = append(settings, m[1]+value)
+	}
+
+	return settings
 }
 
 // Guards against a process that ends long before it would be killed, and cuts requests that could have ended in time,
 // or that is killed before it ends.
 func TestShutdownFitsTimeToKill(t *testing.T) {
 	for grace, want := range map[string]spar.Millis{"6": 5500, "10": 9500, "2.5": 2000, "0.6": 300} {
-		file := writeSettings(t, renderRelayTemplate(t, map[string]string{
-			"node": "n", "zone": "a", "service": "s", "app_addr": "127.0.0.1:1", "listen.outbound": "127.0.0.1:2",
-			"listen.inbound": "127.0.0.1:3", "listen.ready": "127.0.0.1:4", "listen.control": "127.0.0.1:5",
-			"ip": "127.0.0.1", "internal_ports.0": "7600", "provider.address": "127.0.0.1:7", "limits.link_mbps": "10.5",
-			"bounds.hold_max_ms": "10000", "grants": "heartbeat", "bounds.grace_s": grace,
-		}))
-
-		cfg, faults := config.LoadKeys(config.RelayKeys(), []string{file}, nil)
+		values := deployedSettings(t, map[string]string{
+			"limits.memory_mb": "284", "limits.max_fds": "4100", "bounds.grace_s": grace,
+		})
+
+		cfg, faults := config.LoadKeys(config.RelayKeys(), nil, append(values, requiredRelaySettings...))
 		qt.Assert(t, faults, qt.HasLen, 0, qt.Commentf("%v", faults))
 		qt.Check(t, cfg.ShutdownTime(), qt.Equals, want, qt.Commentf("grace of %s s", grace))
 	}
