Wait for the rest of a response only as long as the caller does

Cause: the time of 150 ms that the rest of a response got after the deadline also applied where the deadline was the caller's. The caller left before it got 504, and closed its connection with the requests behind.

Change: the rest of a response is awaited up to the caller's own deadline at most. TestLateResponseLeavesOthersWhole has the case; "rest just after the deadline" now means that of the rule, with a caller that still waits.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -28,6 +28,10 @@
 // replyMargin is subtracted from the caller's deadline to leave time for the response to reach the caller.
 const replyMargin spar.Millis = 15
 
+// maxBodyGrace is how long after a request's deadline the rest of a response is awaited whose header has arrived in
+// time. A response that is cut would take those behind it on the caller's connection along.
+const maxBodyGrace spar.Millis = 150
+
 // Settings configure an Entry.
 type Settings struct {
 	Node string
@@ -282,18 +286,11 @@
 		return gate.Request{}, rule, &rejection{http.StatusUnauthorized, "missing or unknown API key"}
 	}
 
-	remaining := rule.Timeout
-
-	if text := r.Header.Get(names.Deadline); text != "" {
-		ms, err := strconv.ParseFloat(text, 64)
-		if err != nil || ms < 0 {
-			return gate.Request{}, rule, &rejection{http.StatusBadRequest, "bad header " + names.Deadline}
-		}
-
-		remaining = min(remaining, spar.Millis(ms)-replyMargin)
+	deadline, grace, bad := e.deadline(r.Header, rule, now)
+	if bad != nil {
+		return gate.Request{}, rule, bad
 	}
 
-	deadline := e.deps.EndsAt.bound(now + remaining)
 	service := rule.Destination(hash(id))
 	key := gate.NoKey
 
@@ -313,11 +310,30 @@
 	return gate.Request{
 		ID: id, Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: r.Header, Service: service,
 		Caller: e.cfg.Service, Key: key, Kind: rule.Kind, Priority: priority(rule, tenant), Tenant: tenant.Name,
-		Deadline: deadline, Objective: min(deadline, now+objective(rule)),
+		Deadline: deadline, BodyGrace: grace, Objective: min(deadline, now+objective(rule)),
 		Pipelined: httpd.Pipelined(r.Context()),
 	}, rule, nil
 }
 
+// deadline returns the deadline of a request, and how long after it the caller still waits, up to maxBodyGrace.
+func (e *Entry) deadline(h http.Header, rule rules.Rule, now spar.Millis) (at, grace spar.Millis, bad *rejection) {
+	at = now + rule.Timeout
+	waits := at + maxBodyGrace
+
+	if text := h.Get(e.cfg.Names.Deadline); text != "" {
+		ms, err := strconv.ParseFloat(text, 64)
+		if err != nil || ms < 0 {
+			return 0, 0, &rejection{http.StatusBadRequest, "bad header " + e.cfg.Names.Deadline}
+		}
+
+		waits = now + spar.Millis(ms) - replyMargin
+	}
+
+	at = e.deps.EndsAt.bound(min(at, waits))
+
+	return at, max(0, min(maxBodyGrace, waits-at)), nil
+}
+
 // objective returns the time within which a request should be served by its rule.
 func objective(r rules.Rule) spar.Millis {
 	if r.Objective <= 0 {
--- a/entry/hop.go
+++ b/entry/hop.go
@@ -157,7 +157,7 @@
 		Header: encodeHop(req, e.deps.Clock.Now()),
 		Match:  func(h http.Header) conns.Match { return conns.RequireID(h.Get(hopID), req.ID) },
 
-		BodyGrace: gate.BodyGrace,
+		BodyGrace: req.BodyGrace,
 	})
 	if failure != nil {
 		return sendFailure(ctx, failure)
--- a/entry/late_test.go
+++ b/entry/late_test.go
@@ -75,10 +75,14 @@
 		return (&net.Dialer{}).DialContext(ctx, "tcp", addr)
 	}
 
-	set, err := rules.New(1, []rules.Rule{{
-		Name: "r", Host: "a.example", Prefix: "/", Kind: rules.Safe, Timeout: 3000, Attempts: 2,
+	rule := rules.Rule{
+		Name: "long", Host: "a.example", Prefix: "/long/", Kind: rules.Safe, Timeout: 3000, Attempts: 2,
 		Destinations: []rules.Destination{{Service: "desk", Weight: 1}},
-	}}, []rules.Service{{Name: "desk"}}, rules.Limits{})
+	}
+	short := rule
+	short.Name, short.Prefix, short.Timeout = "short", "/short/", 300
+
+	set, err := rules.New(1, []rules.Rule{rule, short}, []rules.Service{{Name: "desk"}}, rules.Limits{})
 	c.Assert(err, qt.IsNil)
 
 	inbound := listenLoopback(c)
@@ -126,9 +130,10 @@
 	return outbound.Addr().String()
 }
 
-// pipelined is a request that is sent without waiting for the responses before, and the status that it gets.
+// pipelined is a request that is sent without waiting for the responses before, how long its caller waits for the
+// response, and the status that it gets.
 type pipelined struct {
-	query    string
+	target   string
 	deadline int
 	want     int
 }
@@ -136,27 +141,30 @@
 // Guards against a response that does not arrive in time or completely, and that takes the responses behind it on its
 // connection along: as long as nothing of it has been sent, its caller gets the truth in its place.
 func TestLateResponseLeavesOthersWhole(t *testing.T) {
-	whole := pipelined{query: "length=9000&first=9000", deadline: 3000, want: http.StatusOK}
+	whole := pipelined{target: "/long/?length=9000&first=9000", deadline: 3000, want: http.StatusOK}
 
 	for name, tt := range map[string][]pipelined{
 		"rest missing": {
-			{"length=9000&first=4500&pause=9000", 400, http.StatusGatewayTimeout}, whole, whole,
+			{"/long/?length=9000&first=4500&pause=9000", 400, http.StatusGatewayTimeout}, whole, whole,
 		},
 		"rest of a long one missing": {
-			{"length=90000&first=9000&pause=9000", 400, http.StatusGatewayTimeout}, whole, whole,
+			{"/long/?length=90000&first=9000&pause=9000", 400, http.StatusGatewayTimeout}, whole, whole,
 		},
 		"broken off": {
-			{"length=9000&first=4500&cut", 2000, http.StatusBadGateway}, whole, whole,
+			{"/long/?length=9000&first=4500&cut", 2000, http.StatusBadGateway}, whole, whole,
 		},
 		"long one broken off": {
-			{"length=90000&first=9000&cut", 2000, http.StatusBadGateway}, whole, whole,
+			{"/long/?length=90000&first=9000&cut", 2000, http.StatusBadGateway}, whole, whole,
 		},
 		"rest just after the deadline": {
-			{"length=9000&first=4500&pause=350", 300, http.StatusOK}, whole, whole,
+			{"/short/?length=9000&first=4500&pause=310", 3000, http.StatusOK}, whole, whole,
+		},
+		"rest just after the caller's own deadline": {
+			{"/long/?length=9000&first=4500&pause=450", 400, http.StatusGatewayTimeout}, whole, whole,
 		},
 		"late while it waits for its turn": {
-			{"length=9000&first=9000&wait=900", 3000, http.StatusOK},
-			{"length=90000&first=30000&pause=9000", 400, http.StatusGatewayTimeout},
+			{"/long/?length=9000&first=9000&wait=900", 3000, http.StatusOK},
+			{"/long/?length=90000&first=30000&pause=9000", 400, http.StatusGatewayTimeout},
 			whole,
 		},
 	} {
@@ -169,8 +177,8 @@
 			defer conn.Close()
 
 			for i, p := range tt {
-				_, err := fmt.Fprintf(conn, "GET /?%s HTTP/1.1\r\nHost: a.example\r\nId: r%d\r\nDeadline-Ms: %d\r\n\r\n",
-					p.query, i, p.deadline)
+				_, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: a.example\r\nId: r%d\r\nDeadline-Ms: %d\r\n\r\n",
+					p.target, i, p.deadline)
 				c.Assert(err, qt.IsNil)
 			}
 
--- a/gate/request.go
+++ b/gate/request.go
@@ -28,6 +28,9 @@
 	// Tenant is the name of the tenant that sent the request; empty if there is none.
 	Tenant   string
 	Deadline spar.Millis
+	// BodyGrace is how long after Deadline the rest of a response may still arrive whose header has arrived in time. It
+	// is 0 for requests of other nodes.
+	BodyGrace spar.Millis
 	// Objective is the time after which the response is of little use to the caller.
 	Objective spar.Millis
 	// Pipelined reports whether responses to later requests of the caller's connection wait for this one.
--- a/gate/run.go
+++ b/gate/run.go
@@ -13,10 +13,6 @@
 	"sardinespar.example/spar/conns"
 )
 
-// BodyGrace is how long after a request's deadline the rest of a response is read whose header has arrived in time. A
-// response that is cut would be lost to the caller together with those behind it on the connection.
-const BodyGrace spar.Millis = 150
-
 // run sends a request that has a slot to the backend server. The slot is freed when the response body is closed,
 // or at once if there is no response.
 func (g *Gate) run(ctx context.Context, w *Waiter, req Request) Result {
@@ -30,7 +26,7 @@
 		Match:  g.matchesID(req.ID),
 		Check:  g.checkResponse,
 
-		BodyGrace: BodyGrace,
+		BodyGrace: req.BodyGrace,
 	})
 	if failure != nil {
 		// cancel is deferred, because handleSendFailure checks whether ctx had already ended.
