--- a/entry/answer.go
+++ b/entry/answer.go
@@ -56,34 +56,35 @@
 	return nil
 }
 
-// opening is a response whose first part has been read, so that it can still be replaced if the rest is missing. A
+// prefetched is a response whose first part has been read, so that it can still be replaced if the rest is missing. A
 // short response is complete then.
-type opening struct {
+type prefetched struct {
 	pool          *piecePool
 	result        gate.Result
 	first, second *piece
 }
 
-// open reads the first part of a response. For a long response it waits until all earlier responses of the connection
-// have been sent, and then reads on, since the backend server's connection may have ended meanwhile. After an error the
-// response is discarded; it is errClosing if the connection ends before the response's turn.
-func (p *piecePool) open(ctx context.Context, r gate.Result) (*opening, error) {
-	o := &opening{pool: p, result: r}
+// prefetch reads the first part of a response. For a long response it waits until all earlier responses of the
+// connection have been sent, and then reads on, since the backend server's connection may have ended meanwhile. After
+// an error the response is discarded; it is errClosing if the connection ends before the response's turn.
+func (p *piecePool) prefetch(ctx context.Context, r gate.Result) (*prefetched, error) {
+	f := &prefetched{pool: p, result: r}
 
-	if err := o.read(ctx); err != nil {
-		o.close()
+	if err := f.read(ctx); err != nil {
+		f.close()
 
 		return nil, err
 	}
 
-	return o, nil
+	return f, nil
 }
 
+// errClosing is returned if the caller's connection ends before a response's turn.
 var errClosing = errors.New("connection closes before the response")
 
-func (o *opening) read(ctx context.Context) error {
-	o.first, _ = o.pool.pool.Get().(*piece)
-	if err := o.first.read(o.result.Body); err != nil || o.first.last {
+func (f *prefetched) read(ctx context.Context) error {
+	f.first, _ = f.pool.pool.Get().(*piece)
+	if err := f.first.read(f.result.Body); err != nil || f.first.last {
 		return err
 	}
 
@@ -91,29 +92,29 @@
 		return fmt.Errorf("%w: %w", errClosing, err)
 	}
 
-	o.second, _ = o.pool.pool.Get().(*piece)
+	f.second, _ = f.pool.pool.Get().(*piece)
 
-	return o.second.read(o.result.Body)
+	return f.second.read(f.result.Body)
 }
 
 // close releases the response.
-func (o *opening) close() {
-	o.result.Discard()
+func (f *prefetched) close() {
+	f.result.Discard()
 
-	for _, p := range []*piece{o.first, o.second} {
+	for _, p := range []*piece{f.first, f.second} {
 		if p != nil {
-			o.pool.pool.Put(p)
+			f.pool.pool.Put(p)
 		}
 	}
 }
 
 // send passes the response on. It returns an error if the body ends early: the connection must then be aborted, so that
 // a truncated response never looks complete.
-func (o *opening) send(w http.ResponseWriter) error {
-	defer o.close()
+func (f *prefetched) send(w http.ResponseWriter) error {
+	defer f.close()
 
 	h := w.Header()
-	if n := o.result.Length; n >= 0 {
+	if n := f.result.Length; n >= 0 {
 		h["Content-Length"] = []string{strconv.FormatInt(n, 10)}
 	}
 
@@ -122,9 +123,9 @@
 		h["Content-Type"] = nil
 	}
 
-	w.WriteHeader(o.result.Status)
+	w.WriteHeader(f.result.Status)
 
-	for next := o.first; ; {
+	for next := f.first; ; {
 		if _, err := w.Write(next.buf[:next.n]); err != nil {
 			return errReceiver
 		}
@@ -133,13 +134,13 @@
 			return nil
 		}
 
-		if next == o.first {
-			next = o.second
+		if next == f.first {
+			next = f.second
 
 			continue
 		}
 
-		if err := next.read(o.result.Body); err != nil {
+		if err := next.read(f.result.Body); err != nil {
 			return err
 		}
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -164,11 +164,11 @@
 
 	result.Service = req.Service
 	took := e.deps.Clock.Now() - arrived
-	o, result := e.open(r.Context(), req, account, result)
+	response, result := e.prefetch(r.Context(), req, account, result)
 	e.record(req, result, rule, set.Version, took)
 
-	if o != nil {
-		e.deliver(w, req, o)
+	if response != nil {
+		e.deliver(w, req, response)
 
 		return
 	}
@@ -202,18 +202,18 @@
 	return a.behind && bad.dependsOnRules()
 }
 
-// open reads the first part of a completed request's response. If the response is incomplete, it returns the result
+// prefetch reads the first part of a completed request's response. If the response is incomplete, it returns the result
 // that the caller gets in its place.
-func (e *Entry) open(
+func (e *Entry) prefetch(
 	ctx context.Context, req gate.Request, account *budget.Account, result gate.Result,
-) (*opening, gate.Result) {
+) (*prefetched, gate.Result) {
 	if result.Outcome != spar.OutcomeCompleted {
 		return nil, result
 	}
 
 	e.countResponse(account, result)
 
-	o, err := e.pieces.open(ctx, result)
+	response, err := e.pieces.prefetch(ctx, result)
 
 	switch {
 	case errors.Is(err, errClosing):
@@ -225,7 +225,7 @@
 		return nil, failed
 	}
 
-	return o, result
+	return response, result
 }
 
 // countResponse counts the part of a response that this node holds in memory: of its own backend server up to
--- a/entry/inbound.go
+++ b/entry/inbound.go
@@ -169,11 +169,11 @@
 func (i *Inbound) write(w http.ResponseWriter, r *http.Request, id string, result gate.Result) {
 	i.deps.Link.Record(responseHeadBytes)
 
-	var o *opening
+	var response *prefetched
 
 	if result.Outcome == spar.OutcomeCompleted {
 		var err error
-		if o, err = i.pieces.open(r.Context(), result); err != nil {
+		if response, err = i.pieces.prefetch(r.Context(), result); err != nil {
 			result = incomplete(r.Context().Err() != nil, err)
 		}
 	}
@@ -183,8 +183,8 @@
 	h[spar.HeaderOutcome] = []string{string(result.Outcome)}
 	setLoad(h, i.deps.Gate.Load())
 
-	if o != nil {
-		i.pass(w, id, o)
+	if response != nil {
+		i.pass(w, id, response)
 
 		return
 	}
@@ -204,16 +204,16 @@
 }
 
 // pass passes the backend server's response on.
-func (i *Inbound) pass(w http.ResponseWriter, id string, o *opening) {
+func (i *Inbound) pass(w http.ResponseWriter, id string, response *prefetched) {
 	h := w.Header()
-	for name, values := range o.result.Header {
+	for name, values := range response.result.Header {
 		if _, own := h[name]; !own {
 			h[name] = values
 		}
 	}
 
-	if err := o.send(w); err != nil {
-		i.deps.Log.Warn("response to node cut", "id", id, "status", o.result.Status, "cause", err)
+	if err := response.send(w); err != nil {
+		i.deps.Log.Warn("response to node cut", "id", id, "status", response.result.Status, "cause", err)
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/entry/reply.go
+++ b/entry/reply.go
@@ -32,9 +32,9 @@
 }
 
 // deliver passes a backend server's response on to the caller. If it ends early, the caller's connection is aborted.
-func (e *Entry) deliver(w http.ResponseWriter, req gate.Request, o *opening) {
+func (e *Entry) deliver(w http.ResponseWriter, req gate.Request, response *prefetched) {
 	h := w.Header()
-	for name, values := range o.result.Header {
+	for name, values := range response.result.Header {
 		h[name] = values
 	}
 
@@ -42,14 +42,14 @@
 		h["Connection"] = []string{"close"}
 	}
 
-	err := o.send(w)
+	err := response.send(w)
 	if err == nil {
 		return
 	}
 
 	if !errors.Is(err, errReceiver) {
 		e.deps.Tally.Count("spar_entry_cut_total")
-		e.logCut(req, o.result, err)
+		e.logCut(req, response.result, err)
 	}
 
 	panic(http.ErrAbortHandler)
