Don't treat a server as cold after an invalid response

Callers got 503 "shed" from an idle backend server, shortly after it had responded to another request without an id or a seal.

Cause: the gate handled an invalid response like a broken connection. The server may then have restarted, so it gets only the rate of a cold one until a health check has shown that it still runs. But a connection that carried a complete header has not broken.

Ruled out: a queue at the server (one request is sent at a time), and an entry node that avoids the server (its reason would be "unreachable").

Change: an invalid response still starts the health check, since the request may have crashed the server, but the server keeps its rate. Invalid statuses and switches of protocol are handled the same way. The check repeats if a connection breaks after the server has responded to it.

--- a/conns/pool.go
+++ b/conns/pool.go
@@ -130,6 +130,9 @@
 	return e.Err
 }
 
+// ErrInvalid is returned for a response whose header is complete, but not valid. Its connection was not broken.
+var ErrInvalid = errors.New("invalid response")
+
 // errStale is returned if a connection delivers only responses to earlier requests.
 var errStale = errors.New("answers belong to other requests")
 
@@ -231,7 +234,7 @@
 
 	if req.Check != nil {
 		if err := req.Check(resp); err != nil {
-			return false, fmt.Errorf("invalid response with status %d: %w", resp.StatusCode, err)
+			return false, fmt.Errorf("%w with status %d: %w", ErrInvalid, resp.StatusCode, err)
 		}
 	}
 
@@ -255,9 +258,9 @@
 
 		switch {
 		case resp.StatusCode < http.StatusContinue || resp.StatusCode > maxStatus:
-			return nil, fmt.Errorf("invalid status %q", resp.Status)
+			return nil, fmt.Errorf("%w: status %q", ErrInvalid, resp.Status)
 		case resp.StatusCode == http.StatusSwitchingProtocols:
-			return nil, errors.New("answer switches protocols")
+			return nil, fmt.Errorf("%w: it switches protocols", ErrInvalid)
 		case resp.StatusCode >= http.StatusOK:
 			return resp, nil
 		}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -75,8 +75,8 @@
 
 	state atomic.Pointer[Upstream]
 	mu    sync.Mutex
-	// checkingHealth is true while a health check is made after a broken connection, and suspects are the requests
-	// whose connections have broken since it began.
+	// checkingHealth is true while a health check is made after a broken connection or an invalid response, and
+	// suspects are the requests that have failed in this way since it began.
 	checkingHealth bool
 	suspects       []suspect
 	// departed is closed when the backend server stops being ready, so that waiting requests are refused.
--- a/gate/health.go
+++ b/gate/health.go
@@ -28,10 +28,13 @@
 	serverEnded
 )
 
-// suspect is a request whose connection broke, and the incarnation of the backend server that it was sent to.
+// suspect is a request whose connection broke or whose response was invalid, and the incarnation of the backend server
+// that it was sent to.
 type suspect struct {
 	request     Request
 	incarnation spar.Incarnation
+	// broken reports whether the connection broke.
+	broken bool
 }
 
 // connectionBroken handles the end of a connection before the response to req was complete. The server may have
@@ -39,17 +42,40 @@
 func (g *Gate) connectionBroken(ctx context.Context, req Request, incarnation spar.Incarnation) {
 	var suspects []suspect
 
-	if u := g.Upstream(); u.Ready && u.Incarnation == incarnation {
-		suspects = append(suspects, suspect{request: req, incarnation: incarnation})
+	if g.expectedToRun(incarnation) {
+		suspects = append(suspects, suspect{request: req, incarnation: incarnation, broken: true})
 	}
 
 	g.suspectRestart(context.WithoutCancel(ctx), req.Service, suspects...)
 }
 
+// responseInvalid handles a response with a complete header that is not valid. It is no sign of a restart, so the
+// server is not treated as cold, but the request may have crashed it.
+func (g *Gate) responseInvalid(ctx context.Context, req Request, incarnation spar.Incarnation) {
+	if g.expectedToRun(incarnation) {
+		g.startHealthChecks(context.WithoutCancel(ctx), req.Service, suspect{request: req, incarnation: incarnation})
+	}
+}
+
+// expectedToRun reports whether an incarnation of the backend server is the present one and has not announced that it
+// leaves.
+func (g *Gate) expectedToRun(incarnation spar.Incarnation) bool {
+	u := g.Upstream()
+
+	return u.Ready && u.Incarnation == incarnation
+}
+
 // suspectRestart treats the backend server as cold until it sends a heartbeat or the known instance answers a
 // health check. It is called after a connection broke, which may mean that the server has restarted, and also when
 // the deadline passed or the caller closed the connection while the body was read.
 func (g *Gate) suspectRestart(ctx context.Context, service string, suspects ...suspect) {
+	g.markMaybeRestarted()
+	g.startHealthChecks(ctx, service, suspects...)
+}
+
+// startHealthChecks starts the health checks unless they are running, and adds requests that may have crashed the
+// backend server.
+func (g *Gate) startHealthChecks(ctx context.Context, service string, suspects ...suspect) {
 	g.mu.Lock()
 	alreadyChecking := g.checkingHealth
 	g.checkingHealth = true
@@ -57,8 +83,6 @@
 	g.mu.Unlock()
 
 	if !alreadyChecking {
-		g.markMaybeRestarted()
-
 		go g.runHealthChecks(ctx, service)
 	}
 }
@@ -71,7 +95,7 @@
 	})
 }
 
-// runHealthChecks checks the backend server, and again if further connections broke during a check. It reports the
+// runHealthChecks checks the backend server, and again if further requests failed during a check. It reports the
 // requests that were in flight at a server that crashed.
 func (g *Gate) runHealthChecks(ctx context.Context, service string) {
 	for {
@@ -82,7 +106,8 @@
 			incarnation = known[0].incarnation
 		}
 
-		if g.checkHealth(ctx, service, incarnation) == serverEnded {
+		state := g.checkHealth(ctx, service, incarnation)
+		if state == serverEnded {
 			// Connections that broke during the check broke for the same reason.
 			known = g.knownSuspects()
 			g.reportCrash(incarnation, known)
@@ -90,11 +115,13 @@
 
 		g.removeSuspects(len(known))
 
-		if g.endHealthCheck() {
+		if g.endHealthCheck(state) {
 			return
 		}
 
-		g.markMaybeRestarted()
+		if slices.ContainsFunc(g.knownSuspects(), func(s suspect) bool { return s.broken }) {
+			g.markMaybeRestarted()
+		}
 	}
 }
 
@@ -114,12 +141,14 @@
 	g.suspects = slices.Delete(g.suspects, 0, n)
 }
 
-// endHealthCheck ends the health checks unless there are suspects left.
-func (g *Gate) endHealthCheck() bool {
+// endHealthCheck ends the health checks after one with a result, unless there are suspects left or a connection has
+// broken since the server responded to it.
+func (g *Gate) endHealthCheck(result serverState) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 
-	g.checkingHealth = len(g.suspects) > 0
+	brokenSince := result == serverRunning && g.state.Load().MaybeRestarted
+	g.checkingHealth = len(g.suspects) > 0 || brokenSince
 
 	return !g.checkingHealth
 }
--- a/gate/run.go
+++ b/gate/run.go
@@ -155,7 +155,8 @@
 }
 
 // handleSendFailure returns the result of a request without a response. If the request was not sent although ctx has
-// not ended, it marks the backend server as down. After a broken connection it calls connectionBroken.
+// not ended, it marks the backend server as down. It has the server checked after a broken connection and after
+// an invalid response.
 func (g *Gate) handleSendFailure(
 	ctx context.Context, req Request, incarnation spar.Incarnation, f *conns.SendError,
 ) Result {
@@ -180,11 +181,13 @@
 		return r
 	case ended:
 		return UnknownOutcome(spar.ReasonDeadline, f.Error())
+	case errors.Is(f, conns.ErrInvalid):
+		g.responseInvalid(ctx, req, incarnation)
 	default:
 		g.connectionBroken(ctx, req, incarnation)
-
-		return UnknownOutcome(spar.ReasonBroken, f.Error())
 	}
+
+	return UnknownOutcome(spar.ReasonBroken, f.Error())
 }
 
 // header returns the header that the backend server gets.
