Refuse requests that a busy link would send after their deadline

Cause: for 2 s nothing that one node sent left its VM, to any node, on open and new connections; its own callers were answered. Requests were written to the full link all the same. The close of a request can't overtake it, so the node beside the server learns of it too late.

Evidence: with the logs of both nodes.

Change: an attempt whose bytes would leave the VM only after its deadline is refused at once as not run, with the time until the link is free.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -15,6 +15,7 @@
 	"sardinespar.example/spar/httpd"
 	"sardinespar.example/spar/mesh"
 	"sardinespar.example/spar/owner"
+	"sardinespar.example/spar/pace"
 	"sardinespar.example/spar/quota"
 	"sardinespar.example/spar/rules"
 	"sardinespar.example/spar/tally"
@@ -46,7 +47,9 @@
 	Maps  *owner.Maps
 	Gate  *gate.Gate
 	Pool  *conns.Pool
-	Log   *log.Logger
+	// Link is the VM's network link, over which requests are sent to other nodes.
+	Link *pace.Link
+	Log  *log.Logger
 	// ZoneWithdrawn reports whether an availability zone is withdrawn.
 	ZoneWithdrawn func(zone string) bool
 	// Tally counts requests and their latencies.
--- a/entry/hop.go
+++ b/entry/hop.go
@@ -152,6 +152,10 @@
 		return e.deps.Gate.Serve(ctx, req)
 	}
 
+	if r, ok := e.checkLink(req); !ok {
+		return r
+	}
+
 	resp, failure := e.deps.Pool.Send(ctx, c.Addr, conns.Request{
 		Method: req.Method, URI: req.URI, Host: req.Host, Body: req.Body,
 		Header: encodeHop(req, e.deps.Clock.Now()),
@@ -170,6 +174,22 @@
 	return receiveShort(ctx, decodeResult(resp))
 }
 
+// checkLink refuses a request to another node that would leave this VM only after its deadline, since the link is busy.
+// Its caller's departure could not overtake it either, so that the server would run it for nobody.
+func (e *Entry) checkLink(req gate.Request) (gate.Result, bool) {
+	backlog := e.deps.Link.Backlog()
+	if backlog == 0 || e.deps.Clock.Now()+backlog < req.Deadline {
+		return gate.Result{}, true
+	}
+
+	e.deps.Tally.Count("spar_entry_link_busy_total")
+
+	r := gate.Refused(spar.ReasonShed, backlog)
+	r.Detail = "link to other nodes is busy for " + strconv.Itoa(int(backlog)) + " ms"
+
+	return r, false
+}
+
 // receiveShort reads the body of a response that is not longer than a piece. If it is truncated, the outcome of the
 // request is unknown, and the request may be sent again.
 func receiveShort(ctx context.Context, r gate.Result) gate.Result {
--- a/entry/late_test.go
+++ b/entry/late_test.go
@@ -22,6 +22,7 @@
 	"sardinespar.example/spar/httpd"
 	"sardinespar.example/spar/mesh"
 	"sardinespar.example/spar/owner"
+	"sardinespar.example/spar/pace"
 	"sardinespar.example/spar/peers"
 	"sardinespar.example/spar/rules"
 )
@@ -70,6 +71,11 @@
 
 // startEntry serves an entry whose only other node is served by a handler. It returns the entry's address.
 func startEntry(c *qt.C, node http.Handler) string {
+	return startEntryOn(c, node, pace.New(spar.RuntimeClock(), 0))
+}
+
+// startEntryOn is startEntry with a given network link.
+func startEntryOn(c *qt.C, node http.Handler, link *pace.Link) string {
 	clock, l := spar.RuntimeClock(), log.New(io.Discard)
 	dial := func(ctx context.Context, addr string) (net.Conn, error) {
 		return (&net.Dialer{}).DialContext(ctx, "tcp", addr)
@@ -110,7 +116,7 @@
 	}, entry.Deps{
 		Clock: clock, Log: l, Rules: func() *rules.Set { return set }, Maps: owner.NewMaps(), Mesh: m,
 		Pool: conns.New(dial, clock, conns.Options{MaxIdle: 4, IdleTimeout: 5000}),
-		Gate: gate.New(gate.Settings{}, gate.Deps{Clock: clock}),
+		Gate: gate.New(gate.Settings{}, gate.Deps{Clock: clock}), Link: link,
 
 		Closed: func() bool { return false }, Closing: func() bool { return false },
 		ZoneWithdrawn: func(string) bool { return false },
--- a/pace/link.go
+++ b/pace/link.go
@@ -69,6 +69,15 @@
 	return l.waitLocked(l.clock.Now())
 }
 
+// Backlog returns how long it takes at the full rate to send the bytes that have been written, and so the delay of what
+// is written now.
+func (l *Link) Backlog() spar.Millis {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	return max(0, l.freeAt-l.clock.Now()) * usableShare
+}
+
 func (l *Link) waitLocked(now spar.Millis) spar.Millis {
 	if l.rate <= 0 {
 		return 0
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -187,7 +187,7 @@
 		SpreadByReports: cfg.SpreadMode == config.SpreadReports,
 	}, entry.Deps{
 		Clock: deps.Clock, Rules: r.operator.Rules, Mesh: r.mesh, Maps: r.maps, Gate: r.gate, Pool: pool,
-		Log: deps.Log, Tally: deps.Tally,
+		Link: deps.Link, Log: deps.Log, Tally: deps.Tally,
 		ZoneWithdrawn: r.operator.ZoneWithdrawn, Closing: r.leaving.Load, Closed: r.closed.Load, EndsAt: r.endsAt,
 		RulesLag:    r.rulesLag,
 		Quarantined: r.crashes.Quarantined, Memory: r.memory, Quota: r.quota,
