Pull the missed changes of a map instead of the complete map

A node that missed one change of the map of owners pulled the complete map, 85 KB at 1,850 ranges, and all nodes that missed it pulled from the node that had written it. A link of 10 Mbit/s sends four of them within the time limit of a pull; the others are sent for nothing and pulled again.

Change: the puller names the revision that it knows. The peer keeps the last 64 changes and replies with those since then if they are shorter than the map. If they can't be applied, the complete map is pulled. Nodes of earlier builds name no revision and get the map.

--- a/keymap/change.go
+++ b/keymap/change.go
@@ -21,6 +21,11 @@
 	Known spar.Revision `json:"known,omitempty"`
 }
 
+// Len returns the number of spans and ranges that change.
+func (c Change) Len() int {
+	return len(c.Cleared) + len(c.Ranges)
+}
+
 // ChangeTo returns the change that turns m into next.
 func (m Map) ChangeTo(next Map) Change {
 	c := Change{LastEpoch: next.LastEpoch, Era: next.Era, Base: next.Base, Known: next.Known}
--- a/owner/change.go
+++ b/owner/change.go
@@ -75,10 +75,12 @@
 
 // publish notifies all peers of a map that was just written. Peers that miss the notification pull the map later.
 func (o *Owner) publish(ctx context.Context, base, v versioned) {
-	o.adoptMap(o.cfg.Service, v)
-	o.deps.Mesh.Broadcast(context.WithoutCancel(ctx), methodMap, mapNotification{
+	n := mapNotification{
 		Service: o.cfg.Service, Base: base.Revision, Revision: v.Revision, Change: base.Map.ChangeTo(v.Map),
-	})
+	}
+
+	o.logMap(n.Service, o.deps.Maps.putWritten(n, v))
+	o.deps.Mesh.Broadcast(context.WithoutCancel(ctx), methodMap, n)
 }
 
 // leaseCondition returns the condition that the lease row is still at the revision that this node last wrote.
--- a/owner/maps.go
+++ b/owner/maps.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"sync"
 
 	spar "sardinespar.example/spar"
@@ -16,15 +17,22 @@
 	// pending are notifications whose base map has not arrived yet, by the base's revision. No two maps have the same
 	// revision.
 	pending map[spar.Revision]mapNotification
+	// history has the last changes that led to the newest map of each service, in order and without gaps.
+	history map[string][]mapNotification
 }
 
-// maxPending is the maximum number of notifications that wait for their base map.
-const maxPending = 32
+const (
+	// maxPending is the maximum number of notifications that wait for their base map.
+	maxPending = 32
+	// maxHistory is the maximum number of changes that are kept for peers that have missed them.
+	maxHistory = 64
+)
 
 // NewMaps returns a Maps without any map.
 func NewMaps() *Maps {
 	return &Maps{
 		byService: map[string]versioned{}, changed: make(chan struct{}), pending: map[spar.Revision]mapNotification{},
+		history: map[string][]mapNotification{},
 	}
 }
 
@@ -68,7 +76,19 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 
-	return m.putLocked(service, v)
+	return m.replaceLocked(service, v)
+}
+
+// replaceLocked stores a map that is newer than the known one and whose changes are not known.
+func (m *Maps) replaceLocked(service string, v versioned) bool {
+	if !m.putLocked(service, v) {
+		return false
+	}
+
+	delete(m.history, service)
+	m.applyPendingLocked(service)
+
+	return true
 }
 
 func (m *Maps) putLocked(service string, v versioned) bool {
@@ -85,11 +105,54 @@
 	close(m.changed)
 	m.changed = make(chan struct{})
 
-	if n, ok := m.pending[v.Revision]; ok && n.Service == service {
-		delete(m.pending, v.Revision)
-		m.putLocked(service, n.applyTo(v))
+	return true
+}
+
+// applyPendingLocked applies the pending notifications whose bases have arrived.
+func (m *Maps) applyPendingLocked(service string) {
+	for {
+		revision := m.byService[service].Revision
+
+		n, ok := m.pending[revision]
+		if !ok || n.Service != service {
+			return
+		}
+
+		delete(m.pending, revision)
+
+		if !m.advanceLocked(n, n.applyTo(m.byService[service])) {
+			return
+		}
+	}
+}
+
+// advanceLocked stores the map that results from a change to the newest one, and adds the change to the history.
+func (m *Maps) advanceLocked(n mapNotification, next versioned) bool {
+	if !m.putLocked(n.Service, next) {
+		return false
+	}
+
+	h := append(m.history[n.Service], n)
+	m.history[n.Service] = h[max(0, len(h)-maxHistory):]
+
+	return true
+}
+
+// putWritten stores a map that this node has written, which results from a change to its base.
+func (m *Maps) putWritten(n mapNotification, v versioned) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+
+	if m.byService[n.Service].Revision != n.Base {
+		return m.replaceLocked(n.Service, v)
+	}
+
+	if !m.advanceLocked(n, v) {
+		return false
 	}
 
+	m.applyPendingLocked(n.Service)
+
 	return true
 }
 
@@ -103,7 +166,13 @@
 
 	switch {
 	case n.Base == known.Revision:
-		return m.putLocked(n.Service, n.applyTo(known))
+		if !m.advanceLocked(n, n.applyTo(known)) {
+			return false
+		}
+
+		m.applyPendingLocked(n.Service)
+
+		return true
 	case n.Base > known.Revision && len(m.pending) < maxPending:
 		m.pending[n.Base] = n
 	case n.Base > known.Revision:
@@ -113,6 +182,32 @@
 	return false
 }
 
+// changesSince returns the changes that lead from a revision of a service's map to the newest one. It returns false if
+// they are not known, or not shorter than the map.
+func (m *Maps) changesSince(service string, revision spar.Revision) ([]mapNotification, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+
+	known := m.byService[service]
+	if revision == known.Revision {
+		return nil, true
+	}
+
+	h := m.history[service]
+
+	i := slices.IndexFunc(h, func(n mapNotification) bool { return n.Base == revision })
+	if i < 0 {
+		return nil, false
+	}
+
+	size := 0
+	for _, n := range h[i:] {
+		size += n.Change.Len()
+	}
+
+	return slices.Clone(h[i:]), size < len(known.Map.Ranges)
+}
+
 // applyTo returns the map that results from applying the change to its base.
 func (n mapNotification) applyTo(base versioned) versioned {
 	return versioned{Revision: n.Revision, Map: base.Map.WithChange(n.Change)}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -199,8 +199,8 @@
 
 		return struct{}{}, nil
 	})
-	peers.Handle(mux, methodPull, func(_ context.Context, p mapRequest) (versioned, error) {
-		return o.deps.Maps.get(p.Service), nil
+	peers.Handle(mux, methodPull, func(_ context.Context, p mapRequest) (mapReply, error) {
+		return o.replyMap(p), nil
 	})
 	peers.Handle(mux, methodOffer, func(_ context.Context, p offer) (offerReply, error) {
 		return offerReply{Accepted: o.acceptOffer(p)}, nil
@@ -227,21 +227,60 @@
 // mapRequest requests a peer's map of a service.
 type mapRequest struct {
 	Service string `json:"service"`
+	// Known is the revision of the map that the sender knows; 0 if there is none, and from nodes of earlier builds.
+	Known spar.Revision `json:"known,omitempty"`
 }
 
-// Pull requests the map of a service from a peer that reports a newer revision of it.
+// mapReply has either the changes since the revision that the peer knows, or the complete map, which is much longer.
+type mapReply struct {
+	versioned
+
+	Changes []mapNotification `json:"changes,omitempty"`
+}
+
+// replyMap returns the reply to a request for a map.
+func (o *Owner) replyMap(p mapRequest) mapReply {
+	if p.Known != 0 {
+		if changes, ok := o.deps.Maps.changesSince(p.Service, p.Known); ok {
+			return mapReply{Changes: changes}
+		}
+	}
+
+	return mapReply{versioned: o.deps.Maps.get(p.Service)}
+}
+
+// Pull requests what this node has missed of the map of a service from a peer that reports a newer revision of it. It
+// requests the complete map if the changes since the known one can't be applied.
 func (o *Owner) Pull(ctx context.Context, peerAddr, service string) {
 	ctx, cancel := context.WithTimeout(ctx, offerTimeout.Duration())
 	defer cancel()
 
-	var v versioned
-	if err := o.deps.Peers.Call(ctx, peerAddr, methodPull, mapRequest{Service: service}, &v); err != nil {
-		o.deps.Log.Debug("pulling map of owners failed", "peer_addr", peerAddr, "service", service, "cause", err)
+	if !o.pull(ctx, peerAddr, mapRequest{Service: service, Known: o.deps.Maps.Revision(service)}) {
+		o.pull(ctx, peerAddr, mapRequest{Service: service})
+	}
+}
 
-		return
+// pull makes a request for a map and stores the map of the reply. It returns false if the reply has changes that can't
+// be applied.
+func (o *Owner) pull(ctx context.Context, peerAddr string, p mapRequest) bool {
+	var reply mapReply
+	if err := o.deps.Peers.Call(ctx, peerAddr, methodPull, p, &reply); err != nil {
+		o.deps.Log.Debug("pulling map of owners failed", "peer_addr", peerAddr, "service", p.Service, "cause", err)
+
+		return true
 	}
 
-	o.adoptMap(service, v)
+	for _, n := range reply.Changes {
+		o.logMap(p.Service, o.deps.Maps.applyNotification(n))
+
+		if o.deps.Maps.Revision(p.Service) < n.Revision {
+			return false
+		}
+	}
+
+	o.adoptMap(p.Service, reply.versioned)
+
+	return true
 }
 
 // adoptMap stores a map that was read from the table or received from a peer, if it is newer than the known one.
