--- a/owner/maps.go
+++ b/owner/maps.go
@@ -132,8 +132,12 @@
 		return false
 	}
 
-	h := append(m.history[n.Service], n)
-	m.history[n.Service] = h[max(0, len(h)-maxHistory):]
+	h := m.history[n.Service]
+	if len(h) == maxHistory {
+		h = slices.Delete(h, 0, 1)
+	}
+
+	m.history[n.Service] = append(h, n)
 
 	return true
 }
--- a/owner/notification_test.go
+++ b/owner/notification_test.go
@@ -110,11 +110,11 @@
 	c := qt.New(t)
 	writer, reader := startMaps(c, "a"), startMaps(c, "b")
 
-	maps := []keymap.Map{{}}
+	// maps has the map of each revision.
+	var maps [ranges + 1]keymap.Map
 	for i := range ranges {
-		last := maps[len(maps)-1]
 		span := keymap.Span{From: 10 * i, To: 10*i + 9}
-		maps = append(maps, last.WithOwner(span, "n", spar.Incarnation{ID: "i-n"}, ""))
+		maps[i+1] = maps[i].WithOwner(span, "n", spar.Incarnation{ID: "i-n"}, "")
 	}
 
 	notify := func(to *mapsNode, i int) {
