Treat a server as cold that has restarted after an invalid response

Found in reading. A server that crashes after an invalid response and starts again breaks no connection. The gate's health check finds the new incarnation and reports the crash, but the server got the usual rate until its first heartbeat, although it is cold.

--- a/gate/health.go
+++ b/gate/health.go
@@ -108,6 +108,9 @@
 
 		state := g.checkHealth(ctx, service, incarnation)
 		if state == serverEnded {
+			// After an invalid response nothing but the health check shows that the server has restarted.
+			g.markMaybeRestarted()
+
 			// Connections that broke during the check broke for the same reason.
 			known = g.knownSuspects()
 			g.reportCrash(incarnation, known)
