--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -18,7 +18,6 @@
 // broken.
 var cases = map[string]func(rec *record, trouble bool) (broken bool, err error){
 	"pipeline-term": pipelineTerm,
-	"slow-term":     slowTerm,
 	"slow-reader":   slowReader,
 	"fragments":     fragments,
 }
