Wait before a first map is assigned after a restore that nobody remembers

Callers saw: keys with two holders. The store comes back from a copy from before a service's first map while all processes restart; backend servers go on with their holds, and the new processes assign all keys at once.

Cause: whether a restore may have lost the map was taken from what the process itself had seen. A process that starts after the restore has seen nothing, so a missing map counted as one that had never been written.

Ruled out: late grants (nothing is delayed in the test by heartbeat, and the two holders have epochs of two eras); grants that the last process repeats when it is back (the double holding ends then).

Change: in an era above 0 a missing map counts as not merged. An empty one is merged, and keys are assigned after the wait that follows any restore. Only the platform's statement that the deployment starts for the first time (node.first_start, from its field bootstrap) permits a first map at once. TestConstantEraCostsNoTime makes the same statement at the first start of its processes; its bound is unchanged.

--- a/config/keys.go
+++ b/config/keys.go
@@ -171,6 +171,22 @@
 	}
 }
 
+// optionalBoolean returns a setting that is true, false, or empty, which means false.
+func optionalBoolean[S any](section, key, help string, set func(*S, bool)) Key[S] {
+	k := boolean(section, key, false, help, set)
+	k.Accepted = "true, false or empty"
+	notEmpty := k.set
+	k.set = func(s *S, v string) bool {
+		if v == "" {
+			v = k.Default
+		}
+
+		return notEmpty(s, v)
+	}
+
+	return k
+}
+
 // integer returns a setting for a whole number in a range.
 func integer[S any](section, key string, def, low, high int, help string, set func(*S, int)) Key[S] {
 	return Key[S]{
--- a/config/relay.go
+++ b/config/relay.go
@@ -13,6 +13,8 @@
 	Service string
 	// AppAddr is the address of the backend server.
 	AppAddr string
+	// FirstStart is set if no process of the deployment has run before this start.
+	FirstStart bool
 
 	// These are the addresses of listeners: Outbound for callers' requests, Inbound for requests of other nodes,
 	// Ready for readiness checks by callers, Control for the backend server's heartbeats, Peer for control messages,
@@ -156,6 +158,10 @@
 		name("node", "service", "service of the backend server beside the node",
 			func(s *RelaySettings, v string) { s.Service = v }),
 		addressIn("node", "app", "address of the backend server", func(s *RelaySettings, v string) { s.AppAddr = v }),
+		optionalBoolean("node", "first_start",
+			"whether the complete deployment starts for the first time, so that no backend server holds keys; without it, "+
+				"keys are first assigned after a wait if the store was ever restored",
+			func(s *RelaySettings, v bool) { s.FirstStart = v }),
 		address("outbound", "address for callers on this VM",
 			func(s *RelaySettings, v string) { s.OutboundAddr = v }),
 		address("inbound", "address for requests of other nodes",
--- a/owner/cluster_test.go
+++ b/owner/cluster_test.go
@@ -218,7 +218,7 @@
 	p.owner = owner.New(owner.Settings{
 		Node: m.host, InstanceID: instanceID, Service: service, PeerAddr: m.host + ":1",
 		AppAddr: m.appAddr(), LeaseDuration: 12_000, RenewInterval: 2500, GrantTTL: 6000, StoreTimeout: 700,
-		MaxGrantTTL: 10_000, MaxCommandDelay: 12_000,
+		MaxGrantTTL: 10_000, MaxCommandDelay: 12_000, FirstStart: start == 1,
 	}, owner.Deps{
 		Clock: clock, UnixMillis: func() int64 { return time.Now().UnixMilli() }, Table: p.table,
 		Eras: p.table.eras, Maps: maps,
--- a/owner/era.go
+++ b/owner/era.go
@@ -33,7 +33,7 @@
 	// ranges of this node that only it could grant when it first saw the era.
 	rightsUntil spar.Millis
 	continued   []keymap.Range
-	// unmerged is set if the table's map was not merged in this era when it was last read, and mapRead is the time of
+	// unmerged is set unless the table's map was merged in this era when it was last read, and mapRead is the time of
 	// that read.
 	unmerged bool
 	mapRead  spar.Millis
@@ -49,7 +49,7 @@
 	}
 
 	now := o.deps.Clock.Now()
-	next := eraState{number: era, seen: now, restored: restored, unmerged: restored}
+	next := eraState{number: era, seen: now, restored: restored, unmerged: restored || !o.cfg.FirstStart}
 
 	if restored {
 		next.rightsUntil = o.rightsUntilLocked()
@@ -65,6 +65,9 @@
 	o.era = next
 
 	if !restored {
+		o.deps.Log.Info("store is in a later era; keys are assigned at once only by a map of this era", "era", era,
+			"first_start", o.cfg.FirstStart, "wait_ms", int(o.eraWait()))
+
 		return
 	}
 
@@ -168,7 +171,8 @@
 	case e.number == 0:
 		return 0, true
 	case base.Revision == 0:
-		// The first map of a service needs no wait, unless a restore is known that may have lost an earlier one.
+		// Only at the first start of the deployment does a missing map mean that there was none. Otherwise a restore may
+		// have lost one that no process remembers, and an empty map is merged first.
 		return e.number, !e.unmerged && (o.waitedLocked() || fresh && !e.restored)
 	case base.Revision.Era() != e.number || base.Map.Era != e.number:
 		return e.number, false
@@ -191,7 +195,7 @@
 }
 
 // noteMap records whether the map of this node's service that was read from the table is merged. A missing map counts
-// as not merged if this node knows one, because the restored table has lost it.
+// as not merged, because a restore may have lost it, except at the first start of the deployment.
 func (o *Owner) noteMap(v versioned, found bool) {
 	known := o.deps.Maps.get(o.cfg.Service)
 
@@ -203,7 +207,7 @@
 	if found {
 		o.era.unmerged = v.Map.Era != v.Revision.Era()
 	} else {
-		o.era.unmerged = o.era.number > 0 && known.Revision != 0
+		o.era.unmerged = o.era.number > 0 && (known.Revision != 0 || !o.cfg.FirstStart)
 	}
 }
 
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -51,6 +51,8 @@
 	StoreTimeout spar.Millis
 	// MaxCommandDelay is the latest time after sending at which an unanswered command may still be carried out.
 	MaxCommandDelay spar.Millis
+	// FirstStart is set if no process of the deployment has run before this start, so that no keys are held.
+	FirstStart bool
 }
 
 // Deps are the dependencies of an Owner.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -173,7 +173,7 @@
 		AppAddr: cfg.AppAddr, LeaseDuration: cfg.LeaseDuration, RenewInterval: cfg.RenewInterval,
 		GrantTTL:     min(cfg.GrantTTL, cfg.MaxGrantTTL),
 		MaxGrantTTL:  cfg.MaxGrantTTL,
-		StoreTimeout: cfg.StoreTimeout, MaxCommandDelay: cfg.MaxCommandDelay,
+		StoreTimeout: cfg.StoreTimeout, MaxCommandDelay: cfg.MaxCommandDelay, FirstStart: cfg.FirstStart,
 	}, owner.Deps{
 		Clock: deps.Clock, UnixMillis: deps.UnixMillis, Table: deps.Table, Maps: r.maps, Gate: r.gate, Mesh: r.mesh,
 		Peers: r.peerPool, Log: deps.Log, Eras: deps.Table.Eras(),
@@ -281,7 +281,8 @@
 	}
 
 	r.deps.Log.Info("started", "node", r.cfg.Node, "service", r.cfg.Service, "zone", r.cfg.Zone,
-		"incarnation", r.deps.Incarnation, "budget_bytes", r.cfg.MemoryBudget(), "connections", r.cfg.ConnectionLimit(),
+		"incarnation", r.deps.Incarnation, "first_start", r.cfg.FirstStart,
+		"budget_bytes", r.cfg.MemoryBudget(), "connections", r.cfg.ConnectionLimit(),
 		"shutdown_ms", int(r.cfg.ShutdownTime()))
 
 	select {
