Keep the entries of requests that crash backend servers in the store

Callers saw: after each restart of all nodes, a request that crashes the backend servers that run it ran again and crashed two more.

Cause: what was learned of a crash lived in the processes only, which pull it from each other after a restart. If all restart, nobody has it.

Ruled out: that new processes let the request run until they hear from a peer (it comes 3.5 s after the restart); that new incarnations of a server count as other victims (the quarantine does not match them).

Change: each node writes the entries of the crashes that it has seen to its row of the store, conditionally, right after a crash and again within 5 s if a request in it completes. A starting node reads all rows, unless the deployment starts for the first time. Entries of one crash are kept too, since a restart after each crash would never let them add up. After a restore of the store each node writes its row again.

--- a/crash/detector.go
+++ b/crash/detector.go
@@ -18,6 +18,8 @@
 	// others.
 	suspicionAge  spar.Millis = 3_600_000
 	quarantineAge spar.Millis = 24 * 3_600_000
+	// maxPathBytes bounds the path in an entry, which only describes the request. The fingerprint covers all of it.
+	maxPathBytes = 256
 )
 
 // Request is what identifies a request that callers may send again, to any node.
@@ -37,7 +39,7 @@
 
 // Detector finds the requests that crash backend servers and quarantines them. A request is suspected of each crash
 // that happened while it was in flight at the server that crashed. A request that completes is no longer suspected.
-// The caller exchanges the entries with the other nodes.
+// The caller exchanges the entries with the other nodes; a Backup keeps them in the table.
 type Detector struct {
 	registry   *Registry
 	unixMillis func() int64
@@ -87,7 +89,7 @@
 
 		changed = append(changed, d.registry.Update(fingerprint, func(known Record) Record {
 			e := Record{
-				Fingerprint: fingerprint, Service: r.Service, Method: r.Method, Path: path,
+				Fingerprint: fingerprint, Service: r.Service, Method: r.Method, Path: path[:min(len(path), maxPathBytes)],
 				Victims: []spar.NodeID{victim}, UntilMs: d.unixMillis() + int64(suspicionAge),
 			}
 
--- a/relay/crash.go
+++ b/relay/crash.go
@@ -30,10 +30,12 @@
 }
 
 // crashLog finds requests that crash backend servers and exchanges its findings with the other nodes. Changed
-// entries are sent to all peers at once. A node that missed them learns it from the digest in its peers' states.
+// entries are sent to all peers at once. A node that missed them learns it from the digest in its peers' states. A
+// backup in the store survives a restart of all nodes.
 type crashLog struct {
 	relay    *Relay
 	detector *crash.Detector
+	backup   *crash.Backup
 	// pulling is set while entries are pulled from a peer.
 	pulling atomic.Bool
 }
@@ -41,7 +43,10 @@
 var _ gate.CrashLog = (*crashLog)(nil)
 
 func newCrashLog(r *Relay) *crashLog {
-	return &crashLog{relay: r, detector: crash.NewDetector(r.deps.UnixMillis)}
+	d := crash.NewDetector(r.deps.UnixMillis)
+	cfg := crash.BackupSettings{Node: r.cfg.Node, FirstStart: r.cfg.FirstStart, Timeout: r.cfg.StoreTimeout}
+
+	return &crashLog{relay: r, detector: d, backup: crash.NewBackup(cfg, d, r.deps.Table, r.deps.Clock, r.deps.Log)}
 }
 
 // register lets peers send and request entries.
@@ -77,6 +82,7 @@
 	}
 
 	c.relay.mesh.Broadcast(c.relay.work, methodCrashed, crashEntries{Entries: changed})
+	c.backup.Add(changed)
 }
 
 // Completed ends the suspicion of a request that the backend server completed.
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -115,7 +115,8 @@
 	}
 }
 
-// onEra reads the operators' table and the table of nodes again after the store was restored, and tells the peers.
+// onEra reads the operators' table and the table of nodes again after the store was restored, writes the entries of
+// crashes again, and tells the peers.
 func (r *Relay) onEra(era int64, restored bool) {
 	if !restored {
 		return
@@ -124,5 +125,6 @@
 	r.deps.Log.Warn("store was restored from an older snapshot", "era", era)
 	r.operator.feed.Refresh()
 	r.fleet.Refresh()
+	r.crashes.backup.Restored()
 	r.mesh.Announce()
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -256,7 +256,7 @@
 
 	for _, run := range []func(context.Context){
 		r.mesh.Run, r.owner.Run, r.quota.Run,
-		r.operator.feed.Run, r.fleet.Run,
+		r.operator.feed.Run, r.fleet.Run, r.crashes.backup.Run,
 		func(ctx context.Context) { r.servePeers(ctx, ln.Peer) },
 		clients.Run,
 	} {
