Cut a response without a length that ends with a reset

Callers saw: a part of a response as a complete one, if the backend server answered a long upload early, without a length, and reset the connection while the upload was still being written.

Cause: a socket returns the error of a reset from one call only. If that is the write of the upload, the next read returns the end of the stream, which is the end of such a response.

Ruled out: an orderly end before the reset (the server closes with a zero linger time), and an error that the reader drops (with a short request it gets the reset).

Change: at the end of a body without a length or chunks, a failed upload or a connection that can't be sent to any more means a reset. The check sends nothing, and holds whichever call took the error. A server that ends its side in order is not affected, whether it reads on or not.

--- a/conns/body.go
+++ b/conns/body.go
@@ -40,6 +40,16 @@
 	}
 }
 
+// failed reports whether the request could not be sent completely.
+func (u *upload) failed() bool {
+	select {
+	case <-u.done:
+		return u.err != nil
+	default:
+		return false
+	}
+}
+
 // body is a response's body. When it has been read to its end, the connection returns to the pool, unless more
 // bytes follow on it.
 type body struct {
@@ -55,6 +65,9 @@
 	done    bool
 }
 
+// errReset is returned for a response that ends with its connection if the server has reset the connection.
+var errReset = errors.New("connection was reset")
+
 // Read reads the body. An error other than io.EOF means that the response is truncated.
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
@@ -63,6 +76,10 @@
 	}
 
 	b.done = true
+	if errors.Is(err, io.EOF) && b.endsWithConn() && b.cutShort() {
+		err = errReset
+	}
+
 	if errors.Is(err, io.EOF) && b.reusable() {
 		b.pool.put(b.conn, keepAlive(b.resp.Header, b.pool.opts.IdleTimeout))
 	} else {
@@ -72,6 +89,17 @@
 	return n, err
 }
 
+// endsWithConn reports whether only the end of the connection marks the end of the response.
+func (b *body) endsWithConn() bool {
+	return b.resp.ContentLength < 0 && len(b.resp.TransferEncoding) == 0
+}
+
+// cutShort reports whether the connection ended by a reset. While a long request is being sent, its writer may be the
+// one that learns of the reset, and the reader then sees the end of the stream, as after an orderly end.
+func (b *body) cutShort() bool {
+	return b.up.failed() || b.conn.wasReset()
+}
+
 // reusable reports whether the connection can carry another request. It can't if the request's ctx has ended,
 // which closes it.
 func (b *body) reusable() bool {
--- a/conns/conn.go
+++ b/conns/conn.go
@@ -12,6 +12,8 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	spar "sardinespar.example/spar"
 )
 
@@ -106,6 +108,29 @@
 	return err == nil && empty
 }
 
+// wasReset reports whether the peer has reset the connection. A socket returns the error of a reset from one call only,
+// which may have been any. After that it still fails to send, even nothing, while a connection whose peer has merely
+// ended its side can be sent to.
+func (c *conn) wasReset() bool {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return true
+	}
+
+	var sendErr error
+
+	err = raw.Control(func(fd uintptr) {
+		sendErr = unix.Send(int(fd), nil, unix.MSG_DONTWAIT|unix.MSG_NOSIGNAL)
+	})
+
+	return err != nil || errors.Is(sendErr, unix.EPIPE) || errors.Is(sendErr, unix.ECONNRESET)
+}
+
 // keepAlive returns how long a server keeps an idle connection after a response, according to its Keep-Alive
 // header.
 func keepAlive(h http.Header, fallback spar.Millis) spar.Millis {
