Treat the first second of a process as used up for a cold server

Cause: the times of the last second's requests live in the process. Ruled out: requests that pass the gate by (all go through it).

Change: NewRateLimiter permits no request to a cold server in the first second of a process. The new test fails with a limiter that starts empty.

--- a/gate/decide_test.go
+++ b/gate/decide_test.go
@@ -63,6 +63,44 @@
 	})
 }
 
+// Guards against a process that restarts beside a cold backend server and hands out the rate of that second again.
+func TestRateLimiterBoundsWindowAcrossRestart(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := rapid.IntRange(1, 12).Draw(t, "limit")
+		restart := spar.Millis(rapid.IntRange(0, 2000).Draw(t, "restart"))
+
+		var (
+			earlier gate.RateLimiter
+			sent    []spar.Millis
+		)
+
+		later := gate.NewRateLimiter(restart)
+
+		for now := spar.Millis(0); now < 4000; now += 10 {
+			limiter := &earlier
+			if now >= restart {
+				limiter = later
+			}
+
+			if wait, ok := limiter.Take(now, limit); ok {
+				sent = append(sent, now)
+			} else if wait <= 0 {
+				t.Fatalf("refused at %v with a wait of %v", now, wait)
+			}
+		}
+
+		for i := range sent {
+			if j := i + limit; j < len(sent) && sent[j]-sent[i] < 1000 {
+				t.Fatalf("%d requests between %v and %v, restart at %v", limit+1, sent[i], sent[j], restart)
+			}
+		}
+
+		if len(sent) < limit {
+			t.Fatalf("only %d requests", len(sent))
+		}
+	})
+}
+
 func admitted(w *gate.Waiter) bool {
 	select {
 	case <-w.Admitted():
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -66,7 +66,7 @@
 	cfg      Settings
 	deps     Deps
 	queue    *Queue
-	coldRate RateLimiter
+	coldRate *RateLimiter
 	keys     *KeyLoad
 	slowdown Slowdown
 
@@ -94,7 +94,7 @@
 
 	g := &Gate{
 		cfg: cfg, deps: deps, queue: NewQueue(deps.Clock), keys: NewKeyLoad(deps.Clock), departed: make(chan struct{}),
-		logLimiter: tally.NewLimiter(deps.Clock, maxLogLines),
+		coldRate: NewRateLimiter(deps.Clock.Now()), logLimiter: tally.NewLimiter(deps.Clock, maxLogLines),
 	}
 	g.state.Store(&Upstream{})
 
--- a/gate/rate.go
+++ b/gate/rate.go
@@ -14,16 +14,30 @@
 	coldMargin spar.Millis = 250
 )
 
-// RateLimiter limits the number of requests to a cold backend server in every window of one second.
+// RateLimiter limits the number of requests to a cold backend server in every window of one second. The zero value is
+// for a server that has had no requests before.
 type RateLimiter struct {
+	// closedUntil is when the window ends in which an earlier process of the node may have used up the limit.
+	closedUntil spar.Millis
+
 	mu sync.Mutex
 	// times has the times of the requests in the last window, in order.
 	times []spar.Millis
 }
 
+// NewRateLimiter returns a limiter for a process that starts now, beside a backend server that may have had requests
+// from an earlier process.
+func NewRateLimiter(now spar.Millis) *RateLimiter {
+	return &RateLimiter{closedUntil: now + coldWindow}
+}
+
 // Take counts a request at now and returns true, unless the last window already has limit requests. In that
 // case it returns the time until the next request is allowed.
 func (r *RateLimiter) Take(now spar.Millis, limit int) (wait spar.Millis, ok bool) {
+	if now < r.closedUntil {
+		return r.closedUntil - now, false
+	}
+
 	r.mu.Lock()
 	defer r.mu.Unlock()
 
