--- a/owner/restore_test.go
+++ b/owner/restore_test.go
@@ -62,7 +62,8 @@
 }
 
 // restoreOnce takes a snapshot, lets some seconds of writes follow, and restores the table, twice for some seeds.
-// Shortly before and after the restore a node may be partitioned from the table, from its peers, or from both.
+// Shortly before and after the restore a node may be partitioned from the table, from its peers, or from both. For some
+// seeds all processes restart at the restore.
 func (c *cluster) restoreOnce(r *rand.Rand) {
 	snapshot := c.memory.Snapshot()
 
@@ -91,9 +92,24 @@
 		time.Sleep(time.Duration(r.IntN(2000)) * time.Millisecond)
 	}
 
+	restartAll := r.IntN(4) == 0
+
+	for _, m := range c.machines {
+		if restartAll {
+			m.killProcess()
+		}
+	}
+
 	c.memory.Restore(snapshot)
 	c.store.Set(fault.StoreFaults{})
 
+	for _, m := range c.machines {
+		if restartAll {
+			time.Sleep(time.Duration(r.IntN(1500)) * time.Millisecond)
+			m.startProcess()
+		}
+	}
+
 	if r.IntN(3) == 0 {
 		time.Sleep(time.Duration(r.IntN(14_000)) * time.Millisecond)
 		c.memory.Restore(snapshot)
